--- /dev/null
+++ b/internal/admission/load.go
@@ -0,0 +1,41 @@
+package admission
+
+import (
+	"fmt"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+)
+
+// Level orders requests by priority, then by rank. A request below an
+// instance's level is likely to be shed there.
+type Level struct {
+	Priority call.Priority
+	Rank     uint32
+}
+
+// Below reports whether l comes before m in shedding order.
+func (l Level) Below(m Level) bool {
+	if l.Priority != m.Priority {
+		return l.Priority < m.Priority
+	}
+	return l.Rank < m.Rank
+}
+
+// Load is what an instance reports on each response.
+type Load struct {
+	Running, Queued, Slots int
+	// Level is the lowest level admitted recently; zero admits everything.
+	Level Level
+}
+
+// String formats the load for the Mustardwing-Load header.
+func (l Load) String() string {
+	return fmt.Sprintf("running=%d,queued=%d,slots=%d,level=%d:%d", l.Running, l.Queued, l.Slots, l.Level.Priority, l.Level.Rank)
+}
+
+// ParseLoad is the inverse of String.
+func ParseLoad(s string) (Load, error) {
+	var l Load
+	_, err := fmt.Sscanf(s, "running=%d,queued=%d,slots=%d,level=%d:%d", &l.Running, &l.Queued, &l.Slots, &l.Level.Priority, &l.Level.Rank)
+	return l, err
+}
--- /dev/null
+++ b/internal/balancer/instance.go
@@ -0,0 +1,16 @@
+package balancer
+
+import "time"
+
+// Instance is one upstream instance that could take a call.
+type Instance struct {
+	ID                    string
+	Incarnation           uint64
+	Region, FailureDomain string
+	// PeerAddress is where the node beside it takes forwarded calls.
+	PeerAddress string
+	Slots       int
+	Draining    bool
+	// Ready is when the upstream became ready.
+	Ready time.Time
+}
--- /dev/null
+++ b/internal/call/metadata.go
@@ -0,0 +1,42 @@
+package call
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// MaxDepth is the largest number of hops from the root request.
+const MaxDepth = 32
+
+// Metadata is what a node knows about one call.
+type Metadata struct {
+	// RequestID is the UUIDv7 of the root request.
+	RequestID uuid.UUID
+	// Attempt identifies one attempt at this call.
+	Attempt uuid.UUID
+	Service string
+	Kind    string
+	Priority
+	// Deadline is on the local clock; between nodes only the remaining time
+	// travels.
+	Deadline  time.Time
+	Allowance Allowance
+	// Depth counts hops from the root, which is zero.
+	Depth uint8
+	// Key is the idempotency key of a non-idempotent call and zero otherwise.
+	Key        uuid.UUID
+	Idempotent bool
+}
+
+// Rank orders requests of equal priority. It depends only on the root request,
+// so all hops of a chain prefer the same requests. Higher ranks are served first.
+func (m Metadata) Rank() uint32 {
+	return uint32(xxhash.Sum64(m.RequestID[:]))
+}
+
+// Remaining returns the time left at now; it may be negative.
+func (m Metadata) Remaining(now time.Time) time.Duration {
+	return m.Deadline.Sub(now)
+}
--- /dev/null
+++ b/internal/idempotency/guard.go
@@ -0,0 +1,23 @@
+// Package idempotency makes sure that a non-idempotent request runs at most
+// once, whichever nodes and upstream instances its attempts reach.
+package idempotency
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Guard gives and takes back the permission to run a non-idempotent request.
+type Guard interface {
+	// Acquire asks the key's owner for permission. Nil means that this attempt
+	// may run now and no other attempt may until Complete reports NotRun. The
+	// errors carry KeyInProgress, KeyCompleted, KeyUnknown, KeyTooOld,
+	// OwnerUnavailable or InvalidKey; in each case this attempt was not run.
+	Acquire(ctx context.Context, service string, key, attempt uuid.UUID) error
+	// Complete reports how the permitted attempt ended, with the upstream's HTTP
+	// status when it ran. It retries in the background and does not block.
+	Complete(ctx context.Context, service string, key, attempt uuid.UUID, run resultcode.Execution, status int)
+}
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,58 @@
+// Package membership keeps each node's table of the nodes in the fleet: who is
+// alive, where, and beside which upstream.
+package membership
+
+import "time"
+
+// State is the state of a member as this node sees it.
+type State uint8
+
+// States of a member.
+const (
+	Alive State = iota + 1
+	Suspect
+	Dead
+	Left
+)
+
+// Addresses of a member.
+type Addresses struct {
+	// Peer takes forwarded calls and control RPCs over TCP.
+	Peer string
+	// Gossip takes membership packets over UDP.
+	Gossip string
+}
+
+// Announcement is the part of a member's record that the member itself decides.
+type Announcement struct {
+	// Service is empty while no upstream has announced itself.
+	Service string
+	Slots   int
+	// UpstreamReady is false until the upstream takes calls.
+	UpstreamReady bool
+	Draining      bool
+	// Ready is when the upstream became ready.
+	Ready time.Time
+	// SettingsRevision is the revision in force at the member.
+	SettingsRevision int64
+}
+
+// Member is one node of the fleet.
+type Member struct {
+	ID string
+	// Incarnation is the start time of the process in unix nanoseconds.
+	Incarnation uint64
+	// Version is raised only by the member itself.
+	Version               uint64
+	State                 State
+	Addresses             Addresses
+	Region, FailureDomain string
+	Announcement
+}
+
+// Event is a change of one member's record.
+type Event struct {
+	// Previous is nil for a member that was unknown before.
+	Previous *Member
+	Current  Member
+}
--- /dev/null
+++ b/internal/platform/store.go
@@ -0,0 +1,50 @@
+// Package platform is the client side of the platform's object API: versioned
+// objects, conditional updates and long-poll watches.
+package platform
+
+import "context"
+
+// MaxValueBytes is the largest value the platform stores.
+const MaxValueBytes = 1 << 20
+
+// Object is one stored value.
+type Object struct {
+	Key string `json:"key"`
+	// Version is store-wide and rises with every write to any key.
+	Version int64  `json:"version"`
+	Value   []byte `json:"value"`
+	// Deleted is set only in events.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Listing holds all objects under a prefix, sorted by key, and the store's
+// version at which they were read.
+type Listing struct {
+	Version int64    `json:"version"`
+	Objects []Object `json:"objects"`
+}
+
+// Events holds the changes under a prefix in the order of their versions.
+type Events struct {
+	// Version is the store's version up to which the events are complete; pass
+	// it as after to the next Watch.
+	Version int64    `json:"version"`
+	Events  []Object `json:"events"`
+}
+
+// Store is the object API. Errors carry a result code: PlatformUnavailable,
+// PlatformRateLimited, PlatformMalformed, SettingsConflict for a failed
+// condition and ScopeNotFound for a missing key. An Update or Delete that fails
+// with PlatformUnavailable may have taken effect.
+type Store interface {
+	Get(ctx context.Context, key string) (Object, error)
+	List(ctx context.Context, prefix string) (Listing, error)
+	// Update writes value if the object's version is ifVersion; zero means that
+	// the object must not exist.
+	Update(ctx context.Context, key string, ifVersion int64, value []byte) (Object, error)
+	Delete(ctx context.Context, key string, ifVersion int64) error
+	// Watch waits until something under prefix is newer than after or the
+	// server's poll time has passed, in which case Events is empty. It fails
+	// with ErrCompacted when the store no longer has the changes.
+	Watch(ctx context.Context, prefix string, after int64) (Events, error)
+}
--- /dev/null
+++ b/internal/resultcode/error.go
@@ -0,0 +1,54 @@
+package resultcode
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Error is an error with a numbered code.
+type Error struct {
+	Code Code
+	// Execution overrides that of the table entry where more is known.
+	Execution Execution
+	// Detail names the object, the value and what would be accepted.
+	Detail string
+	// Cause may be nil.
+	Cause error
+}
+
+// New returns an error whose execution outcome is that of the table.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Execution: Lookup(code).Execution, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap is New with a cause.
+func Wrap(cause error, code Code, format string, args ...any) *Error {
+	e := New(code, format, args...)
+	e.Cause = cause
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%d %s: %s", e.Code, e.Code, e.Detail)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// From finds the numbered error in err's chain. An error without a code
+// becomes Internal.
+func From(err error) *Error {
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded
+	}
+	return Wrap(err, Internal, "unexpected error")
+}
--- /dev/null
+++ b/internal/resultcode/table_test.go
@@ -0,0 +1,28 @@
+package resultcode
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a code whose number and execution outcome disagree: callers
+// decide from the outcome whether to send a request again.
+func TestHundredsDigitMatchesExecution(t *testing.T) {
+	for _, e := range Entries() {
+		switch e.Code / 100 {
+		case 1:
+			assert.Equal(t, e.Execution, NotRun, "%d", e.Code)
+		case 2:
+			assert.Equal(t, e.Execution, Run, "%d", e.Code)
+		case 3:
+			assert.Equal(t, e.Execution, Unknown, "%d", e.Code)
+			assert.Assert(t, !e.MayRetry, "%d", e.Code)
+		}
+	}
+}
+
+// Guards against two entries for one number, of which one would be lost.
+func TestCodesAreUnique(t *testing.T) {
+	assert.Equal(t, len(byCode), len(Entries()))
+}
