Stand-ins for upstream instances, faults and load; telemetry and admin listener

Integration tests and measurements need an upstream with slots and child calls, a proxy that cuts, delays, freezes and resets connections, and an open-loop load client that checks each answer. This adds them, with the daemon's logs, metrics, traces and admin handler.

--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,79 @@
+// Package telemetry sets up logs, metrics and traces of the daemon.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// reportInterval is how often tally passes counters to the Prometheus registry.
+const reportInterval = time.Second
+
+// Config says where telemetry goes.
+type Config struct {
+	// Service is the service.name of the spans.
+	Service string
+	NodeID  string
+	// LogLevel is a zerolog level name.
+	LogLevel string
+	// OTLPEndpoint is the base URL of an OTLP/HTTP collector; empty turns span
+	// export off.
+	OTLPEndpoint string
+	LogWriter    io.Writer
+}
+
+// Telemetry holds what the other packages report to.
+type Telemetry struct {
+	Log     zerolog.Logger
+	Metrics tally.Scope
+	// MetricsHandler serves the Prometheus text format.
+	MetricsHandler http.Handler
+	Tracer         trace.Tracer
+
+	closers []func(context.Context) error
+}
+
+// New sets up telemetry; Close flushes it.
+func New(ctx context.Context, config Config) (*Telemetry, error) {
+	level, err := zerolog.ParseLevel(config.LogLevel)
+	if err != nil {
+		return nil, errors.Wrapf(err, "log_level %q: want debug, info, warn or error", config.LogLevel)
+	}
+	t := &Telemetry{Log: zerolog.New(config.LogWriter).Level(level).With().Timestamp().Str("node", config.NodeID).Logger()}
+	t.startMetrics()
+	if err := t.startTraces(ctx, config); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Telemetry) startMetrics() {
+	reporter := prometheus.NewReporter(prometheus.Options{DefaultTimerType: prometheus.HistogramTimerType})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "mustardwing",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	t.Metrics = scope
+	t.MetricsHandler = reporter.HTTPHandler()
+	t.closers = append(t.closers, func(context.Context) error { return closer.Close() })
+}
+
+// Close flushes metrics and spans.
+func (t *Telemetry) Close(ctx context.Context) error {
+	var first error
+	for _, c := range t.closers {
+		if err := c(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/standin/faultproxy/connection.go
@@ -0,0 +1,28 @@
+package faultproxy
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// connection is a pair of TCP connections joined by the proxy.
+type connection struct {
+	client, server *net.TCPConn
+	cancel         context.CancelFunc
+	// passed counts bytes by direction.
+	passed [2]atomic.Int64
+}
+
+func (c *connection) close(reset bool) {
+	c.cancel()
+	closeTCP(c.client, reset)
+	closeTCP(c.server, reset)
+}
+
+func closeTCP(conn *net.TCPConn, reset bool) {
+	if reset {
+		_ = conn.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/standin/faultproxy/proxy.go
@@ -0,0 +1,206 @@
+// Package faultproxy is a TCP proxy that delays, cuts, freezes and resets
+// connections on request.
+package faultproxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Proxy forwards connections to one target.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	fault  Fault
+	wake   chan struct{}
+	conns  map[*connection]struct{}
+	closed bool
+}
+
+// Start listens and forwards to target.
+func Start(listen, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %q", listen)
+	}
+	p := &Proxy{listener: listener, target: target, wake: make(chan struct{}), conns: make(map[*connection]struct{})}
+	go p.accept()
+	return p, nil
+}
+
+// Addr is the address that clients connect to.
+func (p *Proxy) Addr() string {
+	return p.listener.Addr().String()
+}
+
+// Set changes the fault for running and new connections.
+func (p *Proxy) Set(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.wake)
+	p.wake = make(chan struct{})
+	if f.Mode == Cut || f.Mode == Reset {
+		p.closeConnections(f.Mode == Reset)
+	}
+}
+
+// Close stops the proxy and all its connections.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.closeConnections(false)
+	return p.listener.Close()
+}
+
+func (p *Proxy) closeConnections(reset bool) {
+	for c := range p.conns {
+		c.close(reset)
+	}
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn.(*net.TCPConn))
+	}
+}
+
+func (p *Proxy) serve(client *net.TCPConn) {
+	if mode := p.current().Mode; mode == Cut || mode == Reset {
+		closeTCP(client, mode == Reset)
+		return
+	}
+	dialed, err := net.DialTimeout("tcp", p.target, 5*time.Second)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &connection{client: client, server: dialed.(*net.TCPConn), cancel: cancel}
+	if !p.add(c) {
+		c.close(false)
+		return
+	}
+	defer p.remove(c)
+	var wg sync.WaitGroup
+	wg.Go(func() { p.pump(ctx, c, c.server, c.client, ToServer) })
+	wg.Go(func() { p.pump(ctx, c, c.client, c.server, ToClient) })
+	wg.Wait()
+}
+
+func (p *Proxy) add(c *connection) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.conns[c] = struct{}{}
+	return true
+}
+
+func (p *Proxy) remove(c *connection) {
+	c.close(false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// pump copies one direction until it ends or a fault closes the connection.
+func (p *Proxy) pump(ctx context.Context, c *connection, dst, src *net.TCPConn, d Direction) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := src.Read(buffer)
+		if n > 0 && !p.forward(ctx, c, dst, buffer[:n], d) {
+			c.close(false)
+			return
+		}
+		if err != nil {
+			if err != io.EOF {
+				c.close(false)
+			}
+			_ = dst.CloseWrite()
+			return
+		}
+	}
+}
+
+func (p *Proxy) forward(ctx context.Context, c *connection, dst *net.TCPConn, data []byte, d Direction) bool {
+	if !p.waitForFault(ctx, d) {
+		return false
+	}
+	if limit, ok := p.cutAfter(c, d, len(data)); ok {
+		_, _ = dst.Write(data[:limit])
+		return false
+	}
+	_, err := dst.Write(data)
+	return err == nil
+}
+
+// waitForFault delays or holds back data while the fault asks for it.
+func (p *Proxy) waitForFault(ctx context.Context, d Direction) bool {
+	for {
+		p.mu.Lock()
+		fault, wake := p.fault, p.wake
+		p.mu.Unlock()
+		if !fault.applies(d) {
+			return true
+		}
+		switch fault.Mode {
+		case Delay:
+			return sleep(ctx, fault.Delay)
+		case Freeze:
+			select {
+			case <-wake:
+			case <-ctx.Done():
+				return false
+			}
+		case Cut, Reset:
+			return false
+		default:
+			return true
+		}
+	}
+}
+
+// cutAfter counts the bytes of a direction and reports how many of the next
+// ones may still pass once the limit is reached.
+func (p *Proxy) cutAfter(c *connection, d Direction, n int) (int, bool) {
+	fault := p.current()
+	if fault.Mode != CutAfter || !fault.applies(d) {
+		return 0, false
+	}
+	sent := c.passed[d].Add(int64(n))
+	if sent <= fault.Bytes {
+		return 0, false
+	}
+	return int(max(0, int64(n)-(sent-fault.Bytes))), true
+}
+
+func (p *Proxy) current() Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/upstream/config.go
@@ -0,0 +1,43 @@
+// Package upstream is a stand-in for one instance of a service: it has slots, a
+// connection limit, a service-time distribution, a slow mode, a cold start, a
+// lagging load endpoint and child calls that it sends through its node.
+package upstream
+
+import "time"
+
+// Distribution of service times.
+type Distribution string
+
+// Known distributions.
+const (
+	Fixed       Distribution = "fixed"
+	Exponential Distribution = "exponential"
+)
+
+// Config describes one instance.
+type Config struct {
+	// Listen is the address for calls; port 0 picks a free one.
+	Listen string
+	// Node is the base URL of the node's loopback listener. Without one the
+	// instance neither announces itself nor makes child calls.
+	Node           string
+	Service        string
+	Slots          int
+	MaxConnections int
+	// ServiceTime is the mean of the distribution.
+	ServiceTime  time.Duration
+	Distribution Distribution
+	// Kinds gives call kinds a mean service time of their own.
+	Kinds map[string]time.Duration
+	// ColdStart is the time over which service times fall from ten times the
+	// mean to the mean.
+	ColdStart time.Duration
+	// LoadLag is how old the figures of the load endpoint are.
+	LoadLag time.Duration
+	// Children lists the services called during each call, one after the other.
+	Children []string
+	// RefusesBeforeWork announces and uses declared refusals when all slots are
+	// taken; otherwise excess calls wait.
+	RefusesBeforeWork bool
+	Seed              uint64
+}
--- /dev/null
+++ b/standin/upstream/control.go
@@ -0,0 +1,94 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	announcePath     = "/mustardwing/v1/upstream"
+	announceAttempts = 50
+	announcePause    = 100 * time.Millisecond
+)
+
+type announcement struct {
+	Service           string `json:"service"`
+	Address           string `json:"address"`
+	Slots             int    `json:"slots"`
+	MaxConnections    int    `json:"max_connections"`
+	Ready             bool   `json:"ready"`
+	Draining          bool   `json:"draining"`
+	RefusesBeforeWork bool   `json:"refuses_before_work"`
+}
+
+// announce tells the node about this instance, waiting for a node that is
+// still starting.
+func (s *Server) announce(ctx context.Context) error {
+	var err error
+	for range announceAttempts {
+		if err = s.announceOnce(ctx); err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(announcePause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return err
+}
+
+func (s *Server) announceOnce(ctx context.Context) error {
+	body, err := json.Marshal(announcement{
+		Service:           s.config.Service,
+		Address:           s.Addr(),
+		Slots:             s.config.Slots,
+		MaxConnections:    s.config.MaxConnections,
+		Ready:             true,
+		Draining:          s.draining.Load(),
+		RefusesBeforeWork: s.config.RefusesBeforeWork,
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, s.config.Node+announcePath, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build announcement")
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.Errorf("announce: node answered %s", resp.Status)
+	}
+	return nil
+}
+
+// Drain tells the node that this instance is leaving.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	return s.announceOnce(ctx)
+}
+
+func (s *Server) handleSlow(w http.ResponseWriter, r *http.Request) {
+	factor, err := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+	if err != nil || factor <= 0 {
+		http.Error(w, "factor: want a positive number", http.StatusBadRequest)
+		return
+	}
+	s.SetSlow(factor)
+}
+
+func (s *Server) handleDrain(w http.ResponseWriter, r *http.Request) {
+	if err := s.Drain(r.Context()); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+	}
+}
--- /dev/null
+++ b/standin/upstream/listener.go
@@ -0,0 +1,46 @@
+package upstream
+
+import (
+	"net"
+	"sync"
+)
+
+// limitListener refuses connections beyond a limit by closing them at once.
+type limitListener struct {
+	net.Listener
+	tokens chan struct{}
+}
+
+func limitConnections(l net.Listener, limit int) net.Listener {
+	if limit <= 0 {
+		return l
+	}
+	return &limitListener{Listener: l, tokens: make(chan struct{}, limit)}
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.tokens <- struct{}{}:
+			return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { <-l.tokens })}, nil
+		default:
+			_ = conn.Close()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/upstream/server.go
@@ -0,0 +1,216 @@
+package upstream
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Headers that an upstream copies from a call to its own outgoing calls.
+var propagatedHeaders = []string{"Mustardwing-Request-Id", "Mustardwing-Attempt", "Traceparent", "Tracestate"}
+
+// HeaderTestID identifies one logical request of the load client, so that
+// executions of it can be counted.
+const HeaderTestID = "X-Test-Id"
+
+// coldFactor is how much slower a call is at the beginning of a cold start.
+const coldFactor = 10
+
+// Server is one running instance.
+type Server struct {
+	config   Config
+	listener net.Listener
+	http     *http.Server
+	client   *http.Client
+	slots    chan struct{}
+	started  time.Time
+	draining atomic.Bool
+	slow     atomic.Int64 // factor times 1000
+
+	mu     sync.Mutex
+	random *rand.Rand
+	stats  Stats
+	load   []loadReading
+}
+
+// Answer is the body of a successful call.
+type Answer struct {
+	Service  string   `json:"service"`
+	Address  string   `json:"address"`
+	TestID   string   `json:"test_id"`
+	BodySize int64    `json:"body_size"`
+	BodyHash string   `json:"body_sha256"`
+	Path     []string `json:"path"`
+}
+
+// Start listens and, when a node is configured, announces the instance to it.
+func Start(ctx context.Context, config Config) (*Server, error) {
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %q", config.Listen)
+	}
+	s := &Server{
+		config:   config,
+		listener: listener,
+		client:   newNodeClient(),
+		slots:    make(chan struct{}, config.Slots),
+		started:  time.Now(),
+		random:   rand.New(rand.NewPCG(config.Seed, 1)),
+		stats:    Stats{Executions: make(map[string]int)},
+	}
+	s.slow.Store(1000)
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = s.http.Serve(limitConnections(listener, config.MaxConnections)) }()
+	if config.Node == "" {
+		return s, nil
+	}
+	return s, s.announce(ctx)
+}
+
+func newNodeClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, IdleConnTimeout: time.Minute}}
+}
+
+// Addr is the address for calls.
+func (s *Server) Addr() string {
+	return s.listener.Addr().String()
+}
+
+// Close stops the instance at once.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// Shutdown waits for running calls.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// SetSlow multiplies service times by factor from now on.
+func (s *Server) SetSlow(factor float64) {
+	s.slow.Store(int64(factor * 1000))
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/control/slow", s.handleSlow)
+	mux.HandleFunc("/control/drain", s.handleDrain)
+	mux.HandleFunc("/stats", s.handleStats)
+	mux.HandleFunc("/load", s.handleLoad)
+	mux.HandleFunc("/", s.handleCall)
+	return mux
+}
+
+func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
+	if !s.takeSlot(w, r) {
+		return
+	}
+	defer s.releaseSlot()
+	testID := r.Header.Get(HeaderTestID)
+	s.recordStart(testID)
+	hash := sha256.New()
+	size, err := io.Copy(hash, r.Body)
+	if err != nil {
+		s.recordAbandoned()
+		panic(http.ErrAbortHandler)
+	}
+	if !s.work(r) {
+		s.recordAbandoned()
+		return
+	}
+	path, status := s.callChildren(r, testID)
+	if status != http.StatusOK {
+		http.Error(w, "child call failed", status)
+		return
+	}
+	s.recordCompleted()
+	s.writeAnswer(w, r, Answer{
+		Service:  s.config.Service,
+		Address:  s.Addr(),
+		TestID:   testID,
+		BodySize: size,
+		BodyHash: hex.EncodeToString(hash.Sum(nil)),
+		Path:     append([]string{s.config.Service + "@" + s.Addr()}, path...),
+	})
+}
+
+func (s *Server) takeSlot(w http.ResponseWriter, r *http.Request) bool {
+	if s.config.RefusesBeforeWork {
+		select {
+		case s.slots <- struct{}{}:
+			return true
+		default:
+			w.Header().Set("Mustardwing-Refused-Attempt", r.Header.Get("Mustardwing-Attempt"))
+			http.Error(w, "all slots are taken", http.StatusServiceUnavailable)
+			return false
+		}
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) releaseSlot() {
+	<-s.slots
+}
+
+// work spends the service time and reports false when the call is cancelled.
+func (s *Server) work(r *http.Request) bool {
+	timer := time.NewTimer(s.serviceTime(r.Header.Get("Mustardwing-Kind")))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) serviceTime(kind string) time.Duration {
+	mean := s.config.ServiceTime
+	if own, ok := s.config.Kinds[kind]; ok {
+		mean = own
+	}
+	factor := float64(s.slow.Load()) / 1000
+	if age := time.Since(s.started); age < s.config.ColdStart {
+		factor *= coldFactor - (coldFactor-1)*age.Seconds()/s.config.ColdStart.Seconds()
+	}
+	if s.config.Distribution == Exponential {
+		s.mu.Lock()
+		factor *= s.random.ExpFloat64()
+		s.mu.Unlock()
+	}
+	return time.Duration(float64(mean) * factor)
+}
+
+// writeAnswer sends the answer, followed by as many zero bytes as the query
+// parameter size asks for.
+func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, answer Answer) {
+	padding, _ := strconv.ParseInt(r.URL.Query().Get("size"), 10, 64)
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		return
+	}
+	block := make([]byte, 32<<10)
+	for padding > 0 {
+		n, err := w.Write(block[:min(int64(len(block)), padding)])
+		if err != nil {
+			return
+		}
+		padding -= int64(n)
+	}
+}
