Fleet package: starts the programs as real processes on loopback

Integration tests, the demonstration and the measurements all need the same process control: start, pause, kill, graceful stop, settings files, free ports reported by the programs themselves.

--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,231 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardwing/mustardwing/standin/upstream"
+)
+
+const (
+	readyTimeout  = 30 * time.Second
+	readyInterval = 50 * time.Millisecond
+)
+
+// Instance is one upstream instance with the node beside it.
+type Instance struct {
+	Service  ServiceSpec
+	Node     *Node
+	Upstream *Process
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Deployment  Deployment
+	BinDir      string
+	WorkDir     string
+	Platform    *Process
+	PlatformURL string
+
+	mu        sync.Mutex
+	instances []*Instance
+	next      int
+}
+
+// Start runs the platform stand-in, stores the settings and starts all
+// instances; it returns when every node knows every instance.
+func Start(ctx context.Context, binDir, workDir string, d Deployment) (*Fleet, error) {
+	f := &Fleet{Deployment: d, BinDir: binDir, WorkDir: workDir}
+	platform, err := StartProcess("platform", filepath.Join(binDir, "platformd"), "-listen", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.Platform = platform
+	f.PlatformURL = "http://" + strings.TrimPrefix(platform.FirstLine, "http://")
+	if err := f.start(ctx); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	for key, value := range f.Deployment.Settings {
+		if err := f.PutObject(key, []byte(value)); err != nil {
+			return err
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	total := 0
+	for _, service := range f.Deployment.Services {
+		for range service.Instances {
+			total++
+			group.Go(func() error {
+				_, err := f.AddInstance(ctx, service)
+				return err
+			})
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return f.WaitForMembers(ctx, total)
+}
+
+// AddInstance starts a node and its upstream.
+func (f *Fleet) AddInstance(ctx context.Context, service ServiceSpec) (*Instance, error) {
+	f.mu.Lock()
+	index := f.next
+	f.next++
+	f.mu.Unlock()
+	node, err := StartNode(f.BinDir, f.WorkDir, f.nodeSpec(service.Name, index))
+	if err != nil {
+		return nil, err
+	}
+	instance := &Instance{Service: service, Node: node}
+	f.mu.Lock()
+	f.instances = append(f.instances, instance)
+	f.mu.Unlock()
+	instance.Upstream, err = f.StartUpstream(node, service, index)
+	return instance, err
+}
+
+func (f *Fleet) nodeSpec(service string, index int) NodeSpec {
+	d := f.Deployment
+	return NodeSpec{
+		ID:            fmt.Sprintf("%s-%d", service, index),
+		Region:        d.Region,
+		FailureDomain: d.FailureDomains[index%len(d.FailureDomains)],
+		PlatformURL:   f.PlatformURL,
+		Policy:        d.Policy,
+		LogLevel:      d.LogLevel,
+		OTLPEndpoint:  d.OTLPEndpoint,
+	}
+}
+
+// StartUpstream starts an upstream that announces itself to the node.
+func (f *Fleet) StartUpstream(node *Node, s ServiceSpec, index int) (*Process, error) {
+	args := []string{
+		"-node", "http://" + node.Addresses.Loopback,
+		"-service", s.Name,
+		"-slots", fmt.Sprint(s.Slots),
+		"-connections", fmt.Sprint(s.Connections),
+		"-service-time", s.ServiceTime.String(),
+		"-children", strings.Join(s.Children, ","),
+		"-cold-start", s.ColdStart.String(),
+		"-seed", fmt.Sprint(f.Deployment.Seed + uint64(index)),
+		fmt.Sprintf("-refuses-before-work=%t", s.RefusesBeforeWork),
+	}
+	if s.Distribution != "" {
+		args = append(args, "-distribution", s.Distribution)
+	}
+	if len(s.Kinds) > 0 {
+		var kinds []string
+		for name, d := range s.Kinds {
+			kinds = append(kinds, name+"="+d.String())
+		}
+		args = append(args, "-kinds", strings.Join(kinds, ","))
+	}
+	return StartProcess("upstream-"+node.Spec.ID, filepath.Join(f.BinDir, "upstreamd"), args...)
+}
+
+// Instances returns the running instances of a service, or all for an empty name.
+func (f *Fleet) Instances(service string) []*Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []*Instance
+	for _, i := range f.instances {
+		if service == "" || i.Service.Name == service {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// CallerURLs returns the base URLs of all caller listeners.
+func (f *Fleet) CallerURLs() []string {
+	var urls []string
+	for _, i := range f.Instances("") {
+		urls = append(urls, "http://"+i.Node.Addresses.Caller)
+	}
+	return urls
+}
+
+// PutObject creates an object in the platform's store.
+func (f *Fleet) PutObject(key string, value []byte) error {
+	body, err := json.Marshal(map[string][]byte{"value": value})
+	if err != nil {
+		return errors.Wrap(err, "encode object")
+	}
+	req, err := http.NewRequest(http.MethodPut, f.PlatformURL+"/v1/objects/"+key+"?if_version=0", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "put object")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("put %s: %s", key, resp.Status)
+	}
+	return nil
+}
+
+// SetSlow multiplies the service times of an instance.
+func (i *Instance) SetSlow(factor float64) error {
+	_, err := get(fmt.Sprintf("http://%s/control/slow?factor=%g", i.Upstream.FirstLine, factor))
+	return err
+}
+
+// Stats reads what the upstream did.
+func (i *Instance) Stats() (upstream.Stats, error) {
+	var stats upstream.Stats
+	data, err := get("http://" + i.Upstream.FirstLine + "/stats")
+	if err != nil {
+		return stats, err
+	}
+	return stats, errors.Wrap(json.Unmarshal(data, &stats), "decode stats")
+}
+
+// Stop ends all processes.
+func (f *Fleet) Stop() {
+	var wg sync.WaitGroup
+	for _, i := range f.Instances("") {
+		wg.Go(func() {
+			i.Node.Kill()
+			if i.Upstream != nil {
+				i.Upstream.Kill()
+			}
+		})
+	}
+	wg.Wait()
+	f.Platform.Kill()
+}
+
+func get(url string) ([]byte, error) {
+	resp, err := http.Get(url)
+	if err != nil {
+		return nil, errors.Wrap(err, "get")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", url)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("get %s: %s: %s", url, resp.Status, data)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/test/fleet/node.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// NodeAddresses are the listeners of a node, as it prints them when it starts.
+type NodeAddresses struct {
+	Caller   string `json:"caller"`
+	Loopback string `json:"loopback"`
+	Peer     string `json:"peer"`
+	Gossip   string `json:"gossip"`
+	Admin    string `json:"admin"`
+}
+
+// NodeSpec describes one daemon.
+type NodeSpec struct {
+	ID            string
+	Region        string
+	FailureDomain string
+	PlatformURL   string
+	Seeds         []string
+	Policy        string
+	LogLevel      string
+	OTLPEndpoint  string
+	// Listen holds fixed addresses; empty ones are picked freely.
+	Listen NodeAddresses
+	// AdvertisePeer replaces the peer address that other nodes see, for a node
+	// behind a proxy.
+	AdvertisePeer string
+}
+
+// Node is one running daemon.
+type Node struct {
+	*Process
+	Spec      NodeSpec
+	Addresses NodeAddresses
+}
+
+// settingsFile mirrors the daemon's settings file.
+type settingsFile struct {
+	NodeID        string            `json:"node_id"`
+	Region        string            `json:"region"`
+	FailureDomain string            `json:"failure_domain"`
+	Listen        NodeAddresses     `json:"listen"`
+	Advertise     *advertise        `json:"advertise,omitempty"`
+	Platform      map[string]string `json:"platform"`
+	Seeds         []string          `json:"seeds"`
+	Policy        string            `json:"policy"`
+	LogLevel      string            `json:"log_level"`
+	Trace         map[string]string `json:"trace"`
+}
+
+type advertise struct {
+	Peer string `json:"peer"`
+}
+
+// StartNode writes the settings file and starts the daemon.
+func StartNode(binDir, workDir string, spec NodeSpec) (*Node, error) {
+	path := filepath.Join(workDir, spec.ID+".json")
+	if err := writeSettingsFile(path, spec); err != nil {
+		return nil, err
+	}
+	process, err := StartProcess(spec.ID, filepath.Join(binDir, "mustardwingd"), "-config", path)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{Process: process, Spec: spec}
+	if err := json.Unmarshal([]byte(process.FirstLine), &n.Addresses); err != nil {
+		process.Kill()
+		return nil, errors.Wrapf(err, "%s: addresses %q", spec.ID, process.FirstLine)
+	}
+	return n, nil
+}
+
+func writeSettingsFile(path string, spec NodeSpec) error {
+	file := settingsFile{
+		NodeID:        spec.ID,
+		Region:        spec.Region,
+		FailureDomain: spec.FailureDomain,
+		Listen: NodeAddresses{
+			Caller:   orAnyPort(spec.Listen.Caller),
+			Loopback: orAnyPort(spec.Listen.Loopback),
+			Peer:     orAnyPort(spec.Listen.Peer),
+			Gossip:   orAnyPort(spec.Listen.Gossip),
+			Admin:    orAnyPort(spec.Listen.Admin),
+		},
+		Platform: map[string]string{"url": spec.PlatformURL},
+		Seeds:    append([]string{}, spec.Seeds...),
+		Policy:   spec.Policy,
+		LogLevel: spec.LogLevel,
+		Trace:    map[string]string{"otlp_endpoint": spec.OTLPEndpoint},
+	}
+	if spec.AdvertisePeer != "" {
+		file.Advertise = &advertise{Peer: spec.AdvertisePeer}
+	}
+	data, err := json.MarshalIndent(file, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode settings file")
+	}
+	return errors.Wrap(os.WriteFile(path, data, 0o600), "write settings file")
+}
+
+func orAnyPort(address string) string {
+	if address == "" {
+		return "127.0.0.1:0"
+	}
+	return address
+}
--- /dev/null
+++ b/test/fleet/wait.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// MemberView is the part of a node's members table that tests look at.
+type MemberView struct {
+	ID               string
+	State            string
+	Service          string
+	FailureDomain    string
+	UpstreamReady    bool
+	Draining         bool
+	SettingsRevision int64
+}
+
+// Usable reports whether new calls may go to the member.
+func (m MemberView) Usable() bool {
+	return m.State == "alive" && m.UpstreamReady && !m.Draining
+}
+
+// Members reads a node's members table.
+func (n *Node) Members() ([]MemberView, error) {
+	data, err := get("http://" + n.Addresses.Admin + "/members")
+	if err != nil {
+		return nil, err
+	}
+	var members []MemberView
+	return members, errors.Wrap(json.Unmarshal(data, &members), "decode members")
+}
+
+// WaitForMembers waits until every node sees want usable upstream instances.
+func (f *Fleet) WaitForMembers(ctx context.Context, want int) error {
+	return f.WaitForAll(ctx, func(members []MemberView) bool {
+		usable := 0
+		for _, m := range members {
+			if m.Usable() {
+				usable++
+			}
+		}
+		return usable == want
+	})
+}
+
+// WaitForAll waits until the members table of every node satisfies ok.
+func (f *Fleet) WaitForAll(ctx context.Context, ok func([]MemberView) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, i := range f.Instances("") {
+		if err := i.Node.waitFor(ctx, ok); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) waitFor(ctx context.Context, ok func([]MemberView) bool) error {
+	for {
+		members, err := n.Members()
+		if err == nil && ok(members) {
+			return nil
+		}
+		select {
+		case <-time.After(readyInterval):
+		case <-ctx.Done():
+			return errors.Errorf("%s: members table %+v, last error %v; log: %s", n.Name, members, err, n.Log())
+		}
+	}
+}
