Measurements: overload, recovery, crest, long jobs and straggler scenarios

The measures of the design page need one command over real processes, with the baseline in the same run.

Measured: builds and passes vet; not run yet, the daemon is not wired.

--- /dev/null
+++ b/test/bench/report.go
@@ -0,0 +1,111 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+// Sample is the metrics of one run of a scenario.
+type Sample struct {
+	Deployment, Policy, Scenario string
+	Seed                         uint64
+	Metrics                      map[string]float64
+}
+
+// Aim is what a metric should reach.
+type Aim struct {
+	// AtLeast and AtMost are bounds; zero means none.
+	AtLeast, AtMost float64
+}
+
+// Aims are the bounds from the design page, by metric.
+var Aims = map[string]Aim{
+	"goodput_of_capacity": {AtLeast: 0.9},
+	"critical_success":    {AtLeast: 0.99},
+	"wasted_executions":   {AtMost: 0.02},
+	"recovery_s":          {AtMost: 2},
+	"crest_first_second":  {AtLeast: 0.9},
+	"crest_of_capacity":   {AtLeast: 0.9},
+	"short_p99_ratio":     {AtMost: 1.5},
+	"slowed_p99_ratio":    {AtMost: 1.3},
+}
+
+// String formats the bound for a table.
+func (a Aim) String() string {
+	switch {
+	case a.AtLeast > 0:
+		return fmt.Sprintf("at least %g", a.AtLeast)
+	case a.AtMost > 0:
+		return fmt.Sprintf("at most %g", a.AtMost)
+	default:
+		return ""
+	}
+}
+
+// met reports whether the mean of a metric reaches the aim.
+func (a Aim) met(mean float64) bool {
+	return (a.AtLeast == 0 || mean >= a.AtLeast) && (a.AtMost == 0 || mean <= a.AtMost)
+}
+
+type rowKey struct{ deployment, scenario, metric string }
+
+// WriteTable prints one row per metric with mean, lowest and highest value over
+// the seeds, for the policy and the baseline.
+func WriteTable(w io.Writer, samples []Sample) {
+	rows := make(map[rowKey]map[string][]float64)
+	for _, s := range samples {
+		for metric, value := range s.Metrics {
+			key := rowKey{s.Deployment, s.Scenario, metric}
+			if rows[key] == nil {
+				rows[key] = make(map[string][]float64)
+			}
+			rows[key][s.Policy] = append(rows[key][s.Policy], value)
+		}
+	}
+	fmt.Fprintln(w, "| deployment | scenario | metric | policy | baseline | ratio | aim | met |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, key := range slices.SortedFunc(maps.Keys(rows), compareKeys) {
+		full, none := rows[key]["full"], rows[key]["none"]
+		aim := Aims[key.metric]
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", key.deployment, key.scenario, key.metric,
+			spread(full), spread(none), ratio(full, none), aim, verdict(aim, full))
+	}
+}
+
+func compareKeys(a, b rowKey) int {
+	return slices.Compare([]string{a.deployment, a.scenario, a.metric}, []string{b.deployment, b.scenario, b.metric})
+}
+
+func verdict(aim Aim, values []float64) string {
+	if aim == (Aim{}) || len(values) == 0 {
+		return ""
+	}
+	if aim.met(mean(values)) {
+		return "yes"
+	}
+	return "no"
+}
+
+func mean(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total / float64(len(values))
+}
+
+func spread(values []float64) string {
+	if len(values) == 0 {
+		return "not run"
+	}
+	return fmt.Sprintf("%.3f (%.3f to %.3f)", mean(values), slices.Min(values), slices.Max(values))
+}
+
+func ratio(full, none []float64) string {
+	if len(full) == 0 || len(none) == 0 || mean(none) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%.2f", mean(full)/mean(none))
+}
--- /dev/null
+++ b/test/cmd/bench/main.go
@@ -0,0 +1,125 @@
+// Command bench measures both deployments with the policy and with the baseline
+// and prints a table in Markdown.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/test/bench"
+	"github.com/mustardwing/mustardwing/test/fleet"
+)
+
+const (
+	// settle is the pause between two scenarios on one fleet.
+	settle      = 2 * time.Second
+	serviceTime = 40 * time.Millisecond
+)
+
+type options struct {
+	binDir, deployments, policies, scenarios, samples string
+	seeds                                             uint64
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.binDir, "bin", "bin", "directory of the programs")
+	flag.StringVar(&o.deployments, "deployments", "rulaj,zadruga", "deployments to measure")
+	flag.StringVar(&o.policies, "policies", "full,none", "policies to measure")
+	flag.StringVar(&o.scenarios, "scenarios", "", "scenarios to run; empty runs all")
+	flag.StringVar(&o.samples, "samples", "", "file that receives each sample as a line of JSON")
+	flag.Uint64Var(&o.seeds, "seeds", 5, "number of seeds")
+	flag.Parse()
+	if err := run(context.Background(), o); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	var samples []bench.Sample
+	for _, deployment := range strings.Split(o.deployments, ",") {
+		for _, policy := range strings.Split(o.policies, ",") {
+			for seed := uint64(1); seed <= o.seeds; seed++ {
+				fresh, err := measure(ctx, o, deployment, policy, seed)
+				if err != nil {
+					return errors.Wrapf(err, "%s, policy %s, seed %d", deployment, policy, seed)
+				}
+				samples = append(samples, fresh...)
+			}
+		}
+	}
+	if err := writeSamples(o.samples, samples); err != nil {
+		return err
+	}
+	bench.WriteTable(os.Stdout, samples)
+	return nil
+}
+
+// measure runs the scenarios one after the other on a fresh fleet.
+func measure(ctx context.Context, o options, name, policy string, seed uint64) ([]bench.Sample, error) {
+	workDir, err := os.MkdirTemp("", "mustardwing-bench")
+	if err != nil {
+		return nil, errors.Wrap(err, "work directory")
+	}
+	defer os.RemoveAll(workDir)
+	d := deployment(name)
+	d.Policy = policy
+	d.Seed = seed
+	d.LogLevel = "warn"
+	f, err := fleet.Start(ctx, o.binDir, workDir, d)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	var samples []bench.Sample
+	for _, s := range bench.Scenarios() {
+		if o.scenarios != "" && !strings.Contains(","+o.scenarios+",", ","+s.Name+",") {
+			continue
+		}
+		time.Sleep(settle)
+		r := &bench.Run{Fleet: f, Entry: d.Services[0].Name, Capacity: bench.Capacity(d.Services), Seed: seed, Metrics: make(map[string]float64)}
+		if err := s.Run(ctx, r); err != nil {
+			return nil, errors.Wrap(err, s.Name)
+		}
+		fmt.Fprintf(os.Stderr, "%s %s seed %d %s: %v\n", name, policy, seed, s.Name, r.Metrics)
+		samples = append(samples, bench.Sample{Deployment: name, Policy: policy, Scenario: s.Name, Seed: seed, Metrics: r.Metrics})
+	}
+	return samples, nil
+}
+
+func deployment(name string) fleet.Deployment {
+	d := fleet.Rulaj(serviceTime)
+	if name == "zadruga" {
+		d = fleet.Zadruga(serviceTime)
+	}
+	last := &d.Services[len(d.Services)-1]
+	last.Kinds = map[string]time.Duration{"long": 20 * last.ServiceTime}
+	d.Settings = bench.Settings(d.Services)
+	return d
+}
+
+func writeSamples(path string, samples []bench.Sample) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "samples file")
+	}
+	defer file.Close()
+	encoder := json.NewEncoder(file)
+	for _, s := range samples {
+		if err := encoder.Encode(s); err != nil {
+			return errors.Wrap(err, "write sample")
+		}
+	}
+	return nil
+}
