Data path: callers, router, forwarded calls and upstream end to end

Cause: the skeleton had no code that carries a call.

Change: internal/call reads and writes the headers; ingress serves the caller and loopback listeners with the announcement API; router picks an instance, retries, moves and hedges within the allowance; peer forwards calls over cleartext HTTP/2; upstream sends over HTTP/1.1 with counted bytes and spare connections; drain counts calls in flight; relay copies headers and bodies. A lineage id per call, carried in the Key header between nodes, keeps keys derived below idempotent calls distinct.

Result: go test ./... passes, among it a POST through two nodes to a real HTTP upstream and the announcement API.

--- /dev/null
+++ b/internal/call/field.go
@@ -0,0 +1,124 @@
+package call
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Limits of header values.
+const (
+	// maxValueBytes is above the longest valid value, a load report.
+	maxValueBytes = 128
+	// maxNameBytes bounds service and kind names.
+	maxNameBytes = 63
+	// MaxTimeout is the longest remaining time accepted. The longest timeout
+	// setting is 30 minutes; a larger value is an absolute time or a mistake.
+	MaxTimeout = 24 * time.Hour
+	// maxTimeoutDigits is the length of MaxTimeout in milliseconds.
+	maxTimeoutDigits = 8
+	uuidTextBytes    = 36
+	uuidVersionTime  = 7
+)
+
+// value returns the only value of a header, and false when it is absent.
+func value(h http.Header, name string) (string, bool, error) {
+	values := h[name]
+	switch {
+	case len(values) == 0:
+		return "", false, nil
+	case len(values) > 1:
+		return "", false, resultcode.New(resultcode.MalformedHeader, "%s is given %d times: want once", name, len(values))
+	case len(values[0]) > maxValueBytes:
+		return "", false, resultcode.New(resultcode.HeadersTooLarge, "%s has %d bytes: want at most %d", name, len(values[0]), maxValueBytes)
+	}
+	return values[0], true, nil
+}
+
+func malformed(name, text, want string) error {
+	return resultcode.New(resultcode.MalformedHeader, "%s is %q: want %s", name, text, want)
+}
+
+// parseUUID accepts only the 36-character form.
+func parseUUID(text string) (uuid.UUID, bool) {
+	if len(text) != uuidTextBytes {
+		return uuid.UUID{}, false
+	}
+	id, err := uuid.Parse(text)
+	return id, err == nil && id != uuid.Nil
+}
+
+func parseTimeUUID(text string) (uuid.UUID, bool) {
+	id, ok := parseUUID(text)
+	return id, ok && id.Version() == uuidVersionTime && id.Variant() == uuid.RFC4122
+}
+
+// parseDigits accepts an unsigned decimal number of at most maxDigits digits
+// without sign or spaces.
+func parseDigits(text string, maxDigits int) (uint64, bool) {
+	if text == "" || len(text) > maxDigits {
+		return 0, false
+	}
+	for i := range len(text) {
+		if text[i] < '0' || text[i] > '9' {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return n, err == nil
+}
+
+func parseTimeout(text string) (time.Duration, error) {
+	ms, ok := parseDigits(text, maxTimeoutDigits)
+	d := time.Duration(ms) * time.Millisecond
+	if !ok || d > MaxTimeout {
+		return 0, malformed(HeaderTimeout, text, "remaining milliseconds from 0 to "+strconv.FormatInt(MaxTimeout.Milliseconds(), 10))
+	}
+	return d, nil
+}
+
+// ParseAllowance is the inverse of Allowance.String.
+func ParseAllowance(text string) (Allowance, bool) {
+	retries, moves, found := strings.Cut(text, ",")
+	r, okRetries := strings.CutPrefix(retries, "retries=")
+	m, okMoves := strings.CutPrefix(moves, "moves=")
+	if !found || !okRetries || !okMoves {
+		return Allowance{}, false
+	}
+	a, errRetries := strconv.ParseUint(r, 10, 16)
+	b, errMoves := strconv.ParseUint(m, 10, 16)
+	if errRetries != nil || errMoves != nil {
+		return Allowance{}, false
+	}
+	return Allowance{Retries: uint16(a), Moves: uint16(b)}, true
+}
+
+// String formats the allowance for headers.
+func (a Allowance) String() string {
+	buffer := make([]byte, 0, 32)
+	buffer = append(buffer, "retries="...)
+	buffer = strconv.AppendUint(buffer, uint64(a.Retries), 10)
+	buffer = append(buffer, ",moves="...)
+	buffer = strconv.AppendUint(buffer, uint64(a.Moves), 10)
+	return string(buffer)
+}
+
+// ValidName reports whether s is a service or kind name: 1 to 63 characters of
+// a-z, 0-9 and -, starting with a letter.
+func ValidName(s string) bool {
+	if s == "" || len(s) > maxNameBytes || s[0] < 'a' || s[0] > 'z' {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/call/forward.go
@@ -0,0 +1,133 @@
+package call
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// maxDepthDigits is the length of MaxDepth.
+const maxDepthDigits = 2
+
+// WriteForward sets the headers of a call forwarded to another node. Key
+// carries the lineage; Repeatable tells whether it is an idempotency key.
+func (m Metadata) WriteForward(h http.Header, now time.Time) {
+	values := make([]string, 0, 10)
+	set := func(name, text string) {
+		values = append(values, text)
+		h[name] = values[len(values)-1 : len(values) : len(values)]
+	}
+	set(HeaderRequestID, m.RequestID.String())
+	set(HeaderAttempt, m.Attempt.String())
+	set(HeaderService, m.Service)
+	set(HeaderKind, m.Kind)
+	set(HeaderPriority, m.Priority.String())
+	set(HeaderTimeout, m.remainingText(now))
+	set(HeaderAllowance, m.Allowance.String())
+	set(HeaderDepth, strconv.Itoa(int(m.Depth)))
+	set(HeaderKey, m.Lineage.String())
+	if !m.Idempotent {
+		set(HeaderRepeatable, repeatableNo)
+	}
+}
+
+// WriteUpstream sets the headers that the upstream gets.
+func (m Metadata) WriteUpstream(h http.Header, now time.Time) {
+	values := make([]string, 0, 7)
+	set := func(name, text string) {
+		values = append(values, text)
+		h[name] = values[len(values)-1 : len(values) : len(values)]
+	}
+	set(HeaderRequestID, m.RequestID.String())
+	set(HeaderAttempt, m.Attempt.String())
+	set(HeaderKind, m.Kind)
+	set(HeaderPriority, m.Priority.String())
+	set(HeaderTimeout, m.remainingText(now))
+	if !m.Idempotent {
+		set(HeaderKey, m.Key.String())
+		set(HeaderRepeatable, repeatableNo)
+	}
+}
+
+func (m Metadata) remainingText(now time.Time) string {
+	return strconv.FormatInt(max(0, m.Remaining(now).Milliseconds()), 10)
+}
+
+// ParseForward reads the headers of a call forwarded by another node.
+func ParseForward(h http.Header, now time.Time) (Metadata, error) {
+	hints, err := ParseHints(h)
+	if err != nil {
+		return Metadata{}, err
+	}
+	m := Metadata{
+		RequestID:  hints.RequestID,
+		Service:    hints.Service,
+		Kind:       hints.Kind,
+		Priority:   hints.Priority,
+		Deadline:   now.Add(hints.Timeout),
+		Lineage:    hints.Key,
+		Idempotent: !hints.NotRepeatable,
+	}
+	if !m.Idempotent {
+		m.Key = hints.Key
+	}
+	if m.Attempt, err = ParseParent(h); err != nil {
+		return Metadata{}, err
+	}
+	if m.Allowance, err = forwardedAllowance(h); err != nil {
+		return Metadata{}, err
+	}
+	if m.Depth, err = forwardedDepth(h); err != nil {
+		return Metadata{}, err
+	}
+	return m, requireAll(h, m)
+}
+
+// requireAll checks that no header of a forwarded call is missing.
+func requireAll(h http.Header, m Metadata) error {
+	for _, name := range forwardRequired {
+		if len(h[name]) == 0 {
+			return malformed(name, "", "a value on every forwarded call")
+		}
+	}
+	if m.RequestID == uuid.Nil {
+		return malformed(HeaderRequestID, h.Get(HeaderRequestID), "a UUIDv7")
+	}
+	return nil
+}
+
+var forwardRequired = []string{
+	HeaderRequestID, HeaderAttempt, HeaderService, HeaderKind, HeaderPriority,
+	HeaderTimeout, HeaderAllowance, HeaderDepth, HeaderKey,
+}
+
+func forwardedAllowance(h http.Header) (Allowance, error) {
+	text, present, err := value(h, HeaderAllowance)
+	if err != nil || !present {
+		return Allowance{}, err
+	}
+	a, ok := ParseAllowance(text)
+	if !ok {
+		return Allowance{}, malformed(HeaderAllowance, text, "retries=N,moves=M")
+	}
+	return a, nil
+}
+
+func forwardedDepth(h http.Header) (uint8, error) {
+	text, present, err := value(h, HeaderDepth)
+	if err != nil || !present {
+		return 0, err
+	}
+	depth, ok := parseDigits(text, maxDepthDigits)
+	if !ok {
+		return 0, malformed(HeaderDepth, text, "hops from the root")
+	}
+	if depth > MaxDepth {
+		return 0, resultcode.New(resultcode.DepthExceeded, "depth %d: want at most %d", depth, MaxDepth)
+	}
+	return uint8(depth), nil
+}
--- /dev/null
+++ b/internal/call/header.go
@@ -0,0 +1,49 @@
+package call
+
+import (
+	"net/http"
+	"strings"
+)
+
+// HeaderPrefix starts the name of every header of this system.
+const HeaderPrefix = "Mustardwing-"
+
+// Names of the headers, in the canonical form of net/http.
+const (
+	HeaderRequestID      = "Mustardwing-Request-Id"
+	HeaderAttempt        = "Mustardwing-Attempt"
+	HeaderService        = "Mustardwing-Service"
+	HeaderKind           = "Mustardwing-Kind"
+	HeaderPriority       = "Mustardwing-Priority"
+	HeaderTimeout        = "Mustardwing-Timeout-Ms"
+	HeaderAllowance      = "Mustardwing-Allowance"
+	HeaderDepth          = "Mustardwing-Depth"
+	HeaderKey            = "Mustardwing-Key"
+	HeaderRepeatable     = "Mustardwing-Repeatable"
+	HeaderCode           = "Mustardwing-Code"
+	HeaderRun            = "Mustardwing-Run"
+	HeaderSpent          = "Mustardwing-Spent"
+	HeaderLoad           = "Mustardwing-Load"
+	HeaderRefusedAttempt = "Mustardwing-Refused-Attempt"
+	HeaderOriginalStatus = "Mustardwing-Original-Status"
+)
+
+// DefaultKind is the kind of calls that name none and match none.
+const DefaultKind = "default"
+
+// repeatableNo is the only value of HeaderRepeatable.
+const repeatableNo = "no"
+
+// Strip removes every header of this system.
+func Strip(h http.Header) {
+	for name := range h {
+		if IsOwnHeader(name) {
+			delete(h, name)
+		}
+	}
+}
+
+// IsOwnHeader reports whether the name belongs to this system, in any case.
+func IsOwnHeader(name string) bool {
+	return len(name) >= len(HeaderPrefix) && strings.EqualFold(name[:len(HeaderPrefix)], HeaderPrefix)
+}
--- /dev/null
+++ b/internal/call/lineage.go
@@ -0,0 +1,33 @@
+package call
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/google/uuid"
+)
+
+// Bytes of a UUIDv7: the issue time, then version and variant fields.
+const (
+	uuidTimeBytes   = 6
+	uuidVersionByte = 6
+	uuidVariantByte = 8
+)
+
+// ChildLineage derives the lineage of a child call: a UUIDv7 with the parent's
+// issue time, equal whenever the parent runs again and makes the same calls in
+// the same order. Ordinal counts the parent's calls of this service and kind.
+func ChildLineage(parent uuid.UUID, service, kind string, ordinal int) uuid.UUID {
+	buffer := make([]byte, 0, maxValueBytes+2*maxNameBytes)
+	buffer = append(buffer, parent[:]...)
+	buffer = binary.BigEndian.AppendUint64(buffer, uint64(ordinal))
+	buffer = append(buffer, service...)
+	buffer = append(buffer, 0)
+	buffer = append(buffer, kind...)
+	sum := sha256.Sum256(buffer)
+	id := uuid.UUID(sum[:16])
+	copy(id[:uuidTimeBytes], parent[:uuidTimeBytes])
+	id[uuidVersionByte] = id[uuidVersionByte]&0x0f | uuidVersionTime<<4
+	id[uuidVariantByte] = id[uuidVariantByte]&0x3f | 0x80
+	return id
+}
--- a/internal/call/metadata.go
+++ b/internal/call/metadata.go
@@ -25,6 +25,9 @@
 	Allowance Allowance
 	// Depth counts hops from the root, which is zero.
 	Depth uint8
+	// Lineage identifies this call within the tree of its root request and is the
+	// same on every attempt. Keys of child calls are derived from it.
+	Lineage uuid.UUID
 	// Key is the idempotency key of a non-idempotent call and zero otherwise.
 	Key        uuid.UUID
 	Idempotent bool
--- /dev/null
+++ b/internal/ingress/fleet_test.go
@@ -0,0 +1,160 @@
+package ingress_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/balancer"
+	"github.com/mustardwing/mustardwing/internal/drain"
+	"github.com/mustardwing/mustardwing/internal/ingress"
+	"github.com/mustardwing/mustardwing/internal/peer"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/retry"
+	"github.com/mustardwing/mustardwing/internal/router"
+	"github.com/mustardwing/mustardwing/internal/settings"
+	"github.com/mustardwing/mustardwing/internal/upstream"
+)
+
+// fixedSettings gives the same values for every path.
+type fixedSettings struct{ settings.Values }
+
+func (s fixedSettings) Resolve(settings.Path) settings.Values { return s.Values }
+
+func (fixedSettings) MatchKind(string, string, string) string { return "" }
+
+// memoryGuard grants each key once, for one process.
+type memoryGuard struct {
+	mu   sync.Mutex
+	keys map[uuid.UUID]resultcode.Execution
+}
+
+func (g *memoryGuard) Acquire(_ context.Context, _ string, key, _ uuid.UUID) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if run, known := g.keys[key]; known && run != resultcode.NotRun {
+		return resultcode.New(resultcode.KeyCompleted, "key %s", key)
+	}
+	g.keys[key] = resultcode.Unknown
+	return nil
+}
+
+func (g *memoryGuard) Complete(_ context.Context, _ string, key, _ uuid.UUID, run resultcode.Execution, _ int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.keys[key] = run
+}
+
+// node is one node with its upstream, all in this process.
+type node struct {
+	caller, loopback, peer string
+	upstream               *upstream.Upstream
+	router                 *router.Router
+	drain                  *drain.State
+}
+
+// fleet is a set of nodes that know each other.
+type fleet struct {
+	t        *testing.T
+	values   settings.Values
+	baseline bool
+	guard    *memoryGuard
+	nodes    []*node
+	services map[string][]balancer.Instance
+}
+
+func newFleet(t *testing.T, change func(*fleet)) *fleet {
+	f := &fleet{
+		t: t, values: settings.Defaults(),
+		guard:    &memoryGuard{keys: make(map[uuid.UUID]resultcode.Execution)},
+		services: make(map[string][]balancer.Instance),
+	}
+	if change != nil {
+		change(f)
+	}
+	return f
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+func serve(t *testing.T, server *http.Server) string {
+	l := listen(t)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// add starts a node. Without a service it has no upstream.
+func (f *fleet) add(service, address string, change func(*upstream.Announcement)) *node {
+	limits := fixedSettings{f.values}
+	n := &node{drain: drain.NewState(nil)}
+	client := peer.NewClient(peer.ClientConfig{})
+	n.upstream = upstream.New(upstream.Config{Settings: limits, Baseline: f.baseline})
+	n.router = router.New(router.Config{
+		Settings: limits, Forwarder: client, Baseline: f.baseline,
+		Random: func() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) },
+	})
+	config := ingress.Config{Settings: limits, Router: n.router, Drain: n.drain}
+	running, ledger := upstream.NewRunning(), retry.NewLedger()
+	n.peer = serve(f.t, peer.NewServer(peer.NewHandler(peer.HandlerConfig{
+		Upstream: n.upstream, Running: running, Ledger: ledger, Guard: f.guard, Drain: n.drain,
+	})))
+	n.caller = serve(f.t, ingress.NewServer(ingress.NewCallerHandler(config)))
+	n.loopback = serve(f.t, ingress.NewServer(ingress.NewLoopbackHandler(ingress.LoopbackConfig{
+		Config: config, Upstream: n.upstream, Running: running, Ledger: ledger,
+	})))
+	f.t.Cleanup(func() { client.Close(); n.upstream.Close() })
+	f.nodes = append(f.nodes, n)
+	if service != "" {
+		a := upstream.Announcement{Service: service, Address: address, Slots: 50, MaxConnections: 60, Ready: true}
+		if change != nil {
+			change(&a)
+		}
+		assert.NilError(f.t, n.upstream.Announce(a))
+		f.services[service] = append(f.services[service], balancer.Instance{
+			ID: n.peer, PeerAddress: n.peer, Slots: a.Slots, Ready: time.Now().Add(-time.Hour),
+		})
+	}
+	f.connect()
+	return n
+}
+
+// connect tells all nodes of all instances.
+func (f *fleet) connect() {
+	for _, n := range f.nodes {
+		for service, all := range f.services {
+			n.router.SetInstances(service, all)
+		}
+	}
+}
+
+// startUpstream serves a handler as an upstream instance would.
+func startUpstream(t *testing.T, handler http.HandlerFunc) string {
+	return serve(t, &http.Server{Handler: handler})
+}
+
+// newCaller returns an HTTP/1.1 client with connections of its own.
+func newCaller(t *testing.T) *http.Client {
+	transport := &http.Transport{DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+func newRequest(t *testing.T, method, address, service, body string) *http.Request {
+	r, err := http.NewRequest(method, "http://"+address+"/path?q=1", strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Host = service + ".example"
+	return r
+}
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,34 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/relay"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// Bounds of the memory of bodies that arrive faster than they are passed on.
+	streamBufferBytes     = 256 << 10
+	connectionBufferBytes = 1 << 20
+)
+
+// NewServer returns the server of the caller or the loopback listener: HTTP/1.1
+// and cleartext HTTP/2. Headers somewhat above relay.MaxHeaderBytes still reach
+// the handler, which refuses them with a result code.
+func NewServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    2 * relay.MaxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerStream:     streamBufferBytes,
+			MaxReceiveBufferPerConnection: connectionBufferBytes,
+		},
+	}
+}
--- /dev/null
+++ b/internal/peer/handler.go
@@ -0,0 +1,154 @@
+// Package peer carries calls between nodes over cleartext HTTP/2 and serves
+// control messages on the same listener.
+package peer
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/mustardwing/mustardwing/internal/admission"
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/drain"
+	"github.com/mustardwing/mustardwing/internal/idempotency"
+	"github.com/mustardwing/mustardwing/internal/relay"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/retry"
+	"github.com/mustardwing/mustardwing/internal/upstream"
+)
+
+// HandlerConfig holds what a Handler needs.
+type HandlerConfig struct {
+	Upstream *upstream.Upstream
+	// Running and Ledger are shared with the loopback handler.
+	Running *upstream.Running
+	Ledger  *retry.Ledger
+	// Guard permits non-idempotent calls; nil refuses them.
+	Guard idempotency.Guard
+	Drain *drain.State
+	// Control serves everything that is not a forwarded call: the connect-go
+	// PeerService handler.
+	Control http.Handler
+	Logger  zerolog.Logger
+	// Scope, Tracer and Now may be nil.
+	Scope  tally.Scope
+	Tracer trace.Tracer
+	Now    func() time.Time
+}
+
+// Handler serves the peer listener.
+type Handler struct {
+	config HandlerConfig
+	counts *relay.Counters
+}
+
+// NewHandler returns a handler.
+func NewHandler(config HandlerConfig) *Handler {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.Tracer == nil {
+		config.Tracer = relay.NoTracer()
+	}
+	return &Handler{config: config, counts: relay.NewCounters(config.Scope, "peer_calls")}
+}
+
+// ServeHTTP implements http.Handler. A forwarded call has an attempt id.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if len(r.Header[call.HeaderAttempt]) > 0 {
+		h.serveCall(w, r)
+		return
+	}
+	if h.config.Control != nil {
+		h.config.Control.ServeHTTP(w, r)
+		return
+	}
+	http.NotFound(w, r)
+}
+
+func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
+	ctx, span := relay.StartSpan(r.Context(), h.config.Tracer, "mustardwing.peer", r.Header)
+	defer span.End()
+	m, err := call.ParseForward(r.Header, h.config.Now())
+	w.Header()[call.HeaderRequestID] = []string{r.Header.Get(call.HeaderRequestID)}
+	w.Header()[call.HeaderAttempt] = []string{r.Header.Get(call.HeaderAttempt)}
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	if err := h.config.Drain.Enter(); err != nil {
+		h.refuse(w, err)
+		return
+	}
+	defer h.config.Drain.Leave()
+	ctx, cancel := context.WithDeadline(ctx, m.Deadline)
+	defer cancel()
+	if err := h.admitAndRun(ctx, w, r, m); err != nil {
+		h.refuse(w, err)
+	}
+}
+
+// refuse answers with a result code.
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	failure := resultcode.From(err)
+	h.counts.Count(failure.Code)
+	w.Header()[call.HeaderLoad] = []string{h.config.Upstream.Admission().Load().String()}
+	relay.WriteFailure(w, failure)
+}
+
+// admitAndRun waits for a slot and runs the call. An error means that nothing
+// of a response was written.
+func (h *Handler) admitAndRun(ctx context.Context, w http.ResponseWriter, r *http.Request, m call.Metadata) error {
+	if err := h.servesService(m.Service); err != nil {
+		return err
+	}
+	slot, err := h.config.Upstream.Admission().Acquire(ctx, admission.Request{
+		Kind: m.Kind, Priority: m.Priority, Rank: m.Rank(), Deadline: m.Deadline,
+	})
+	if err != nil {
+		return err
+	}
+	e := &execution{handler: h, metadata: m, slot: slot}
+	defer e.end()
+	if err := e.permit(ctx); err != nil {
+		return err
+	}
+	if err := e.open(r.Context()); err != nil {
+		return err
+	}
+	if r.ContentLength < 0 || r.ContentLength > ContinueAbove {
+		w.WriteHeader(http.StatusContinue)
+	}
+	return e.run(ctx, w, r)
+}
+
+// servesService refuses calls that a stale members table sent here.
+func (h *Handler) servesService(service string) error {
+	state := h.config.Upstream.State()
+	if !state.Announced || state.Service != service {
+		return resultcode.New(resultcode.NoInstance, "service %q: this node has %q", service, state.Service)
+	}
+	if !state.Available() {
+		return resultcode.New(resultcode.UpstreamUnreachable, "the upstream at %s is not ready", state.Address)
+	}
+	return nil
+}
+
+// writeHeader sends the upstream's response header with this node's own.
+func (h *Handler) writeHeader(w http.ResponseWriter, response *http.Response, run resultcode.Execution) {
+	header := w.Header()
+	relay.CopyHeader(header, response.Header)
+	values := []string{strconv.Itoa(int(resultcode.OK)), run.String(), h.config.Upstream.Admission().Load().String()}
+	header[call.HeaderCode] = values[0:1:1]
+	header[call.HeaderRun] = values[1:2:2]
+	header[call.HeaderLoad] = values[2:3:3]
+	if response.ContentLength >= 0 && len(header["Content-Length"]) == 0 {
+		header["Content-Length"] = []string{strconv.FormatInt(response.ContentLength, 10)}
+	}
+	w.WriteHeader(response.StatusCode)
+}
--- /dev/null
+++ b/internal/peer/response.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/mustardwing/mustardwing/internal/admission"
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/relay"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// maxFailureBytes bounds the body of a response with a result code.
+const maxFailureBytes = 4 << 10
+
+// Response is what another node returned for one attempt.
+type Response struct {
+	Status int
+	// Header still has the headers of this system; relay.CopyHeader omits them.
+	Header        http.Header
+	ContentLength int64
+	Execution     resultcode.Execution
+	// Load is nil when the node reported none.
+	Load *admission.Load
+	// Failure is set when the node gave a result code; there is no body then.
+	Failure *resultcode.Error
+
+	body   io.ReadCloser
+	raw    *http.Response
+	cancel func()
+}
+
+// newResponse checks that the response belongs to the attempt.
+func newResponse(m call.Metadata, raw *http.Response, cancel func()) (*Response, *resultcode.Error) {
+	r := &Response{
+		Status:        raw.StatusCode,
+		Header:        raw.Header,
+		ContentLength: raw.ContentLength,
+		Execution:     resultcode.ParseExecution(raw.Header.Get(call.HeaderRun)),
+		body:          raw.Body,
+		raw:           raw,
+		cancel:        cancel,
+	}
+	if raw.Header.Get(call.HeaderRequestID) != m.RequestID.String() || raw.Header.Get(call.HeaderAttempt) != m.Attempt.String() {
+		r.Close()
+		return nil, resultcode.New(resultcode.AnswerMismatch, "response has request id %q and attempt %q: want %s and %s",
+			raw.Header.Get(call.HeaderRequestID), raw.Header.Get(call.HeaderAttempt), m.RequestID, m.Attempt)
+	}
+	if load, err := admission.ParseLoad(raw.Header.Get(call.HeaderLoad)); err == nil {
+		r.Load = &load
+	}
+	r.readFailure()
+	return r, nil
+}
+
+// readFailure sets Failure when the response carries a result code.
+func (r *Response) readFailure() {
+	text := r.Header.Get(call.HeaderCode)
+	number, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		r.Failure = resultcode.New(resultcode.Internal, "response has code %q: want a number", text)
+		r.Close()
+		return
+	}
+	if number == 0 {
+		return
+	}
+	var body relay.Failure
+	// The detail is for people; a response without it is as good.
+	_ = json.NewDecoder(io.LimitReader(r.body, maxFailureBytes)).Decode(&body)
+	r.Failure = &resultcode.Error{Code: resultcode.Code(number), Execution: r.Execution, Detail: body.Detail}
+	if status, err := strconv.Atoi(r.Header.Get(call.HeaderOriginalStatus)); err == nil {
+		r.Failure.Cause = originalStatus(status)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.body, maxFailureBytes))
+	r.Close()
+}
+
+// Read implements io.Reader for the body.
+func (r *Response) Read(p []byte) (int, error) {
+	return r.body.Read(p)
+}
+
+// Close ends the attempt; an unfinished body is cancelled.
+func (r *Response) Close() {
+	_ = r.body.Close()
+	r.cancel()
+}
+
+// Trailer returns the trailers, which are complete once the body has ended.
+func (r *Response) Trailer() http.Header {
+	return r.raw.Trailer
+}
+
+// Spent returns what was spent below this attempt, and false when the node did
+// not say so. It is known once the body has ended.
+func (r *Response) Spent() (call.Allowance, bool) {
+	if text := r.raw.Trailer.Get(call.HeaderSpent); text != "" {
+		return call.ParseAllowance(text)
+	}
+	return call.ParseAllowance(r.Header.Get(call.HeaderSpent))
+}
+
+// originalStatus is the status of an execution that completed earlier.
+type originalStatus int
+
+// Error implements error.
+func (s originalStatus) Error() string {
+	return "earlier execution completed with status " + strconv.Itoa(int(s))
+}
+
+// OriginalStatus implements relay.OriginalStatus.
+func (s originalStatus) OriginalStatus() int {
+	return int(s)
+}
--- /dev/null
+++ b/internal/relay/body.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// bufferBytes bounds the memory of one body in one direction.
+const bufferBytes = 32 << 10
+
+var buffers = sync.Pool{New: func() any {
+	buffer := make([]byte, bufferBytes)
+	return &buffer
+}}
+
+// Copy relays a response body. ReadErr is set when the source ended early,
+// writeErr when the receiver is gone. With flush every piece is sent at once.
+func Copy(w http.ResponseWriter, body io.Reader, flush bool) (written int64, readErr, writeErr error) {
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := *pooled
+	control := http.NewResponseController(w)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			m, failed := w.Write(buffer[:n])
+			written += int64(m)
+			if failed != nil {
+				return written, nil, failed
+			}
+		}
+		if err == io.EOF {
+			return written, nil, nil
+		}
+		if err != nil {
+			return written, err, nil
+		}
+		if flush && n > 0 {
+			if failed := control.Flush(); failed != nil {
+				return written, nil, failed
+			}
+		}
+	}
+}
+
+// FlushNeeded reports whether a response should be sent piece by piece: always
+// when its length is unknown, since the next piece may be long in coming.
+func FlushNeeded(contentLength int64) bool {
+	return contentLength < 0 || contentLength > bufferBytes
+}
+
+// HasBody reports whether a response to the method carries a body.
+func HasBody(method string, status int, contentLength int64) bool {
+	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		return false
+	}
+	return contentLength != 0
+}
--- /dev/null
+++ b/internal/relay/counters.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"strconv"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Counters counts calls by result code.
+type Counters struct {
+	scope  tally.Scope
+	name   string
+	byCode sync.Map
+}
+
+// NewCounters returns counters below a scope, which may be nil.
+func NewCounters(scope tally.Scope, name string) *Counters {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return &Counters{scope: scope, name: name}
+}
+
+// Count adds one call.
+func (c *Counters) Count(code resultcode.Code) {
+	counter, ok := c.byCode.Load(code)
+	if !ok {
+		tagged := c.scope.Tagged(map[string]string{"code": strconv.Itoa(int(code)), "name": code.String()})
+		counter, _ = c.byCode.LoadOrStore(code, tagged.Counter(c.name))
+	}
+	counter.(tally.Counter).Inc(1)
+}
--- /dev/null
+++ b/internal/relay/failure.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Failure is the body of a response that carries a result code.
+type Failure struct {
+	Code   resultcode.Code `json:"code"`
+	Name   string          `json:"name"`
+	Run    string          `json:"run"`
+	Detail string          `json:"detail"`
+}
+
+// OriginalStatus is implemented by errors with code KeyCompleted that know the
+// HTTP status of the execution that completed.
+type OriginalStatus interface {
+	OriginalStatus() int
+}
+
+// WriteFailure answers with a result code.
+func WriteFailure(w http.ResponseWriter, failure *resultcode.Error) {
+	h := w.Header()
+	h[call.HeaderCode] = []string{strconv.Itoa(int(failure.Code))}
+	h[call.HeaderRun] = []string{failure.Execution.String()}
+	h["Content-Type"] = []string{"application/json"}
+	var original OriginalStatus
+	if errors.As(failure, &original) {
+		h[call.HeaderOriginalStatus] = []string{strconv.Itoa(original.OriginalStatus())}
+	}
+	body, err := json.Marshal(Failure{failure.Code, failure.Code.String(), failure.Execution.String(), failure.Detail})
+	if err != nil {
+		body = nil
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(resultcode.Lookup(failure.Code).HTTPStatus)
+	// A failed write means that the receiver is gone; nobody is left to tell.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,64 @@
+// Package router carries one outgoing call to an instance of its service:
+// choice of instance, sending, retries, moves and hedges.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/peer"
+	"github.com/mustardwing/mustardwing/internal/relay"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+// Settings resolves the settings in force.
+type Settings interface {
+	Resolve(settings.Path) settings.Values
+}
+
+// Forwarder sends one attempt to the node at an address. *peer.Client
+// implements it.
+type Forwarder interface {
+	Forward(ctx context.Context, address string, m call.Metadata, r *peer.Request, accepted func()) (*peer.Response, error)
+}
+
+// Config holds what a Router needs.
+type Config struct {
+	// Region of this node.
+	Region    string
+	Settings  Settings
+	Forwarder Forwarder
+	// Baseline retries three times at each hop regardless of the allowance,
+	// chooses round robin and never hedges.
+	Baseline bool
+	// Random returns the random source of one balancer; nil takes a seed from
+	// the runtime.
+	Random func() *rand.Rand
+	Logger zerolog.Logger
+	// Scope, Tracer and Now may be nil.
+	Scope  tally.Scope
+	Tracer trace.Tracer
+	Now    func() time.Time
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	if c.Tracer == nil {
+		c.Tracer = relay.NoTracer()
+	}
+	if c.Random == nil {
+		c.Random = func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	}
+	return c
+}
--- /dev/null
+++ b/internal/upstream/running.go
@@ -0,0 +1,77 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+
+	"github.com/google/uuid"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+)
+
+// Running is the record of attempts that run at the upstream. An outgoing call
+// of the upstream finds its parent in it. It is safe for concurrent use.
+type Running struct {
+	mu       sync.Mutex
+	attempts map[uuid.UUID]*Parent
+}
+
+// NewRunning returns an empty record.
+func NewRunning() *Running {
+	return &Running{attempts: make(map[uuid.UUID]*Parent)}
+}
+
+// Open adds an attempt and returns false when it runs already. Abandoned ends
+// when the call's own caller has gone; it stops the child calls too.
+func (r *Running) Open(abandoned context.Context, m call.Metadata) (*Parent, bool) {
+	p := &Parent{Metadata: m, Abandoned: abandoned}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, exists := r.attempts[m.Attempt]; exists {
+		return nil, false
+	}
+	r.attempts[m.Attempt] = p
+	return p, true
+}
+
+// Close removes an attempt.
+func (r *Running) Close(attempt uuid.UUID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.attempts, attempt)
+}
+
+// Find returns the running attempt.
+func (r *Running) Find(attempt uuid.UUID) (*Parent, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.attempts[attempt]
+	return p, ok
+}
+
+// Parent is a running attempt as its child calls see it.
+type Parent struct {
+	call.Metadata
+	Abandoned context.Context
+
+	mu       sync.Mutex
+	ordinals map[childName]int
+}
+
+type childName struct {
+	service, kind string
+}
+
+// NextLineage returns the lineage of the parent's next call of a service and
+// kind.
+func (p *Parent) NextLineage(service, kind string) uuid.UUID {
+	name := childName{service, kind}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ordinals == nil {
+		p.ordinals = make(map[childName]int)
+	}
+	ordinal := p.ordinals[name]
+	p.ordinals[name] = ordinal + 1
+	return call.ChildLineage(p.Lineage, service, kind, ordinal)
+}
