Platform: object API stand-in, HTTP client and test store

Cause: the packages that use the platform need a store to test against and a client that reports each failure with its code. Change: platformtest.Store holds the semantics and the faults; standin/platform serves it over HTTP and platformd runs it; platform.Client checks and bounds every answer, repeats nothing and marks calls that reached nobody as not run.

--- /dev/null
+++ b/internal/platform/check.go
@@ -0,0 +1,60 @@
+package platform
+
+import (
+	"net/url"
+	"strings"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// objectPath returns the path of an object. Segments that a server would
+// normalise away are refused, since they would name another object.
+func objectPath(key string) (string, error) {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		if s == "" || s == "." || s == ".." {
+			return "", resultcode.New(resultcode.SettingsInvalid,
+				"object key %q: segment %q; accepted are non-empty names other than . and ..", key, s)
+		}
+		segments[i] = url.PathEscape(s)
+	}
+	return "objects/" + strings.Join(segments, "/"), nil
+}
+
+func checkObject(o Object, key string) error {
+	if o.Key != key {
+		return malformed("asked for object %q, got %q", key, o.Key)
+	}
+	if o.Version <= 0 {
+		return malformed("object %q has version %d", key, o.Version)
+	}
+	return nil
+}
+
+func checkListing(l Listing, prefix string) error {
+	previous := ""
+	for _, o := range l.Objects {
+		if !strings.HasPrefix(o.Key, prefix) || o.Key <= previous {
+			return malformed("listing of %q contains %q after %q", prefix, o.Key, previous)
+		}
+		if o.Version <= 0 || o.Version > l.Version {
+			return malformed("listing at version %d contains %q at version %d", l.Version, o.Key, o.Version)
+		}
+		previous = o.Key
+	}
+	return nil
+}
+
+func checkEvents(e Events, prefix string, after int64) error {
+	previous := after
+	for _, o := range e.Events {
+		if !strings.HasPrefix(o.Key, prefix) {
+			return malformed("watch of %q contains %q", prefix, o.Key)
+		}
+		if o.Version <= previous || o.Version > e.Version {
+			return malformed("watch at version %d contains version %d after %d", e.Version, o.Version, previous)
+		}
+		previous = o.Version
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/platformtest/counts.go
@@ -0,0 +1,24 @@
+package platformtest
+
+// Counts holds the number of calls of each kind, refused ones included.
+type Counts struct {
+	Gets    int64 `json:"gets"`
+	Lists   int64 `json:"lists"`
+	Updates int64 `json:"updates"`
+	Deletes int64 `json:"deletes"`
+	Watches int64 `json:"watches"`
+	// Waiting is the number of watches that wait now.
+	Waiting int64 `json:"waiting"`
+	// Limited is the number of calls refused by a rate limit.
+	Limited int64 `json:"limited"`
+}
+
+// Reads returns the calls that count against the read rate.
+func (c Counts) Reads() int64 {
+	return c.Gets + c.Lists + c.Watches
+}
+
+// Writes returns the calls that count against the write rate.
+func (c Counts) Writes() int64 {
+	return c.Updates + c.Deletes
+}
--- /dev/null
+++ b/internal/platform/platformtest/faults.go
@@ -0,0 +1,33 @@
+package platformtest
+
+import "time"
+
+// Faults are the failures that a Store shows. The zero value shows none.
+type Faults struct {
+	// Outage fails every call and ends waiting watches.
+	Outage bool `json:"outage"`
+	// DelayMs is added to every call before it takes effect.
+	DelayMs int `json:"delay_ms"`
+	// ReadsPerSecond and WritesPerSecond limit the calls; zero means no limit.
+	// A waiting watch counts as one read.
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second"`
+	// LostAnswerShare is the share of writes, 0 to 1, that take effect and whose
+	// answer is lost.
+	LostAnswerShare float64 `json:"lost_answer_share"`
+	// LateWriteShare is the share of writes, 0 to 1, that fail for the writer and
+	// are attempted by the store LateWriteMs later.
+	LateWriteShare float64 `json:"late_write_share"`
+	LateWriteMs    int     `json:"late_write_ms"`
+	// GarbageShare is the share of calls, 0 to 1, that take effect and whose
+	// answer cannot be read.
+	GarbageShare float64 `json:"garbage_share"`
+}
+
+func (f Faults) delay() time.Duration {
+	return time.Duration(f.DelayMs) * time.Millisecond
+}
+
+func (f Faults) lateWriteDelay() time.Duration {
+	return time.Duration(f.LateWriteMs) * time.Millisecond
+}
--- /dev/null
+++ b/internal/platform/platformtest/history.go
@@ -0,0 +1,83 @@
+package platformtest
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/mustardwing/mustardwing/internal/platform"
+)
+
+// history keeps the objects and their latest changes.
+type history struct {
+	version int64
+	objects map[string]platform.Object
+	changes []platform.Object
+	// compacted is the version up to which changes are no longer kept.
+	compacted int64
+	limit     int
+}
+
+func newHistory(limit int) *history {
+	return &history{objects: make(map[string]platform.Object), limit: limit}
+}
+
+func (h *history) put(key string, value []byte) platform.Object {
+	h.version++
+	o := platform.Object{Key: key, Version: h.version, Value: append([]byte(nil), value...)}
+	h.objects[key] = o
+	h.record(o)
+	return o
+}
+
+func (h *history) remove(key string) {
+	h.version++
+	delete(h.objects, key)
+	h.record(platform.Object{Key: key, Version: h.version, Deleted: true})
+}
+
+func (h *history) record(o platform.Object) {
+	h.changes = append(h.changes, o)
+	if len(h.changes) > h.limit {
+		h.compact(len(h.changes) - h.limit)
+	}
+}
+
+func (h *history) compact(n int) {
+	if n == 0 {
+		return
+	}
+	h.compacted = h.changes[n-1].Version
+	h.changes = append([]platform.Object(nil), h.changes[n:]...)
+}
+
+func (h *history) list(prefix string) platform.Listing {
+	l := platform.Listing{Version: h.version, Objects: []platform.Object{}}
+	for key, o := range h.objects {
+		if strings.HasPrefix(key, prefix) {
+			l.Objects = append(l.Objects, copied(o))
+		}
+	}
+	sort.Slice(l.Objects, func(i, j int) bool { return l.Objects[i].Key < l.Objects[j].Key })
+	return l
+}
+
+// after returns the changes under prefix that are newer than version; ok is
+// false when some of them are no longer kept.
+func (h *history) after(prefix string, version int64) (changes []platform.Object, ok bool) {
+	if version < h.compacted {
+		return nil, false
+	}
+	first := sort.Search(len(h.changes), func(i int) bool { return h.changes[i].Version > version })
+	changes = []platform.Object{}
+	for _, o := range h.changes[first:] {
+		if strings.HasPrefix(o.Key, prefix) {
+			changes = append(changes, copied(o))
+		}
+	}
+	return changes, true
+}
+
+func copied(o platform.Object) platform.Object {
+	o.Value = append([]byte(nil), o.Value...)
+	return o
+}
--- /dev/null
+++ b/internal/platform/platformtest/store.go
@@ -0,0 +1,233 @@
+// Package platformtest holds an in-memory store with the platform's semantics
+// and with faults that tests switch on. The stand-in program serves the same
+// store over HTTP.
+package platformtest
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// DefaultHistory is the number of changes kept for watches.
+const DefaultHistory = 10000
+
+// DefaultPoll is how long a watch waits for a change.
+const DefaultPoll = 30 * time.Second
+
+// Store is an in-memory platform.Store. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	history *history
+	faults  Faults
+	counts  Counts
+	random  *rand.Rand
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	// changed is closed and replaced at every change of objects or faults.
+	changed chan struct{}
+	poll    time.Duration
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns an empty store whose random faults follow the seed.
+func New(seed uint64) *Store {
+	return &Store{
+		history: newHistory(DefaultHistory),
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		reads:   rate.NewLimiter(rate.Inf, 0),
+		writes:  rate.NewLimiter(rate.Inf, 0),
+		changed: make(chan struct{}),
+		poll:    DefaultPoll,
+	}
+}
+
+// SetPoll sets how long a watch waits for a change.
+func (s *Store) SetPoll(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poll = d
+}
+
+// SetFaults replaces the faults shown from now on.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.reads = newLimiter(f.ReadsPerSecond)
+	s.writes = newLimiter(f.WritesPerSecond)
+	s.announce()
+}
+
+// Faults returns the faults shown now.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counts returns the calls made so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Compact forgets all changes made so far; watches from before fail.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.compact(len(s.history.changes))
+	s.announce()
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.begin(ctx, &s.counts.Gets, s.readLimiter); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.history.objects[key]
+	if !ok {
+		return platform.Object{}, notFound(key)
+	}
+	return copied(o), s.garbage()
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	if err := s.begin(ctx, &s.counts.Lists, s.readLimiter); err != nil {
+		return platform.Listing{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.list(prefix), s.garbage()
+}
+
+// Update implements platform.Store.
+func (s *Store) Update(ctx context.Context, key string, ifVersion int64, value []byte) (platform.Object, error) {
+	if err := s.begin(ctx, &s.counts.Updates, s.writeLimiter); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.delayed(func() { _, _ = s.update(key, ifVersion, value) }) {
+		return platform.Object{}, errLate
+	}
+	o, err := s.update(key, ifVersion, value)
+	if err != nil {
+		return o, err
+	}
+	return o, s.answerFault()
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, ifVersion int64) error {
+	if err := s.begin(ctx, &s.counts.Deletes, s.writeLimiter); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.delayed(func() { _, _ = s.remove(key, ifVersion) }) {
+		return errLate
+	}
+	if _, err := s.remove(key, ifVersion); err != nil {
+		return err
+	}
+	return s.answerFault()
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64) (platform.Events, error) {
+	s.mu.Lock()
+	poll := s.poll
+	s.mu.Unlock()
+	return s.WatchFor(ctx, prefix, after, poll)
+}
+
+// WatchFor is Watch with a poll time.
+func (s *Store) WatchFor(ctx context.Context, prefix string, after int64, poll time.Duration) (platform.Events, error) {
+	if err := s.begin(ctx, &s.counts.Watches, s.readLimiter); err != nil {
+		return platform.Events{}, err
+	}
+	s.wait(1)
+	defer s.wait(-1)
+	timer := time.NewTimer(poll)
+	defer timer.Stop()
+	for {
+		events, changed, err := s.collect(prefix, after)
+		if err != nil || len(events.Events) > 0 {
+			return events, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return events, nil
+		case <-ctx.Done():
+			return platform.Events{}, unavailable(ctx.Err())
+		}
+	}
+}
+
+func (s *Store) collect(prefix string, after int64) (platform.Events, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return platform.Events{}, nil, errOutage
+	}
+	changes, ok := s.history.after(prefix, after)
+	if !ok {
+		return platform.Events{}, nil, platform.ErrCompacted
+	}
+	events := platform.Events{Version: s.history.version, Events: changes}
+	if len(changes) == 0 {
+		return events, s.changed, nil
+	}
+	return events, s.changed, s.garbage()
+}
+
+func (s *Store) wait(n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Waiting += n
+}
+
+func (s *Store) update(key string, ifVersion int64, value []byte) (platform.Object, error) {
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, resultcode.New(resultcode.SettingsInvalid,
+			"object %q has %d bytes; at most %d are stored", key, len(value), platform.MaxValueBytes)
+	}
+	now := s.history.objects[key]
+	if now.Version != ifVersion {
+		return copied(now), conflict(key, ifVersion, now.Version)
+	}
+	o := s.history.put(key, value)
+	s.announce()
+	return copied(o), nil
+}
+
+func (s *Store) remove(key string, ifVersion int64) (platform.Object, error) {
+	now, ok := s.history.objects[key]
+	if !ok {
+		return platform.Object{}, notFound(key)
+	}
+	if now.Version != ifVersion {
+		return copied(now), conflict(key, ifVersion, now.Version)
+	}
+	s.history.remove(key)
+	s.announce()
+	return platform.Object{}, nil
+}
+
+func (s *Store) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -35,12 +35,14 @@
 // Store is the object API. Errors carry a result code: PlatformUnavailable,
 // PlatformRateLimited, PlatformMalformed, SettingsConflict for a failed
 // condition and ScopeNotFound for a missing key. An Update or Delete that fails
-// with PlatformUnavailable may have taken effect.
+// with PlatformUnavailable or PlatformMalformed may have taken effect or may do
+// so later, unless the error's Execution is NotRun.
 type Store interface {
 	Get(ctx context.Context, key string) (Object, error)
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Update writes value if the object's version is ifVersion; zero means that
-	// the object must not exist.
+	// the object must not exist. With SettingsConflict it returns the object that
+	// is there now, whose version is zero when there is none.
 	Update(ctx context.Context, key string, ifVersion int64, value []byte) (Object, error)
 	Delete(ctx context.Context, key string, ifVersion int64) error
 	// Watch waits until something under prefix is newer than after or the
--- /dev/null
+++ b/standin/platform/answer.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	store "github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// maxBody is the size of the largest value in base64 with room for the rest of
+// the request.
+const maxBody = 2 * store.MaxValueBytes
+
+// garbage is cut-off JSON followed by bytes that are not text.
+const garbage = "{\"version\": 12, \"obj\xff\xfe"
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
+		return false
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func codeOf(err error) resultcode.Code {
+	if err == nil {
+		return resultcode.OK
+	}
+	return resultcode.From(err).Code
+}
+
+// respond writes value, or the status that belongs to err.
+func respond(w http.ResponseWriter, value any, err error) {
+	if errors.Is(err, platformtest.ErrAnswerLost) {
+		// Closes the connection without an answer.
+		panic(http.ErrAbortHandler)
+	}
+	if errors.Is(err, store.ErrCompacted) {
+		http.Error(w, err.Error(), http.StatusGone)
+		return
+	}
+	switch codeOf(err) {
+	case resultcode.OK:
+		writeJSON(w, http.StatusOK, value)
+	case resultcode.ScopeNotFound:
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case resultcode.SettingsConflict:
+		writeJSON(w, http.StatusConflict, value)
+	case resultcode.SettingsInvalid:
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+	case resultcode.PlatformRateLimited:
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+	case resultcode.PlatformMalformed:
+		_, _ = io.WriteString(w, garbage)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/platform/control.go
@@ -0,0 +1,28 @@
+package platform
+
+import (
+	"net/http"
+)
+
+func (h *handler) getFaults(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.store.Faults())
+}
+
+// putFaults changes the fields present in the body and keeps the others.
+func (h *handler) putFaults(w http.ResponseWriter, r *http.Request) {
+	faults := h.store.Faults()
+	if !decode(w, r, &faults) {
+		return
+	}
+	h.store.SetFaults(faults)
+	writeJSON(w, http.StatusOK, faults)
+}
+
+func (h *handler) getCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.store.Counts())
+}
+
+func (h *handler) compact(w http.ResponseWriter, _ *http.Request) {
+	h.store.Compact()
+	w.WriteHeader(http.StatusNoContent)
+}
