membership: SWIM-style protocol over UDP

The node needs to know who is alive, where and beside which upstream, without a list of upstreams and without a coordination service.

--- /dev/null
+++ b/internal/membership/udp.go
@@ -0,0 +1,88 @@
+package membership
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// Sizes of the UDP transport.
+const (
+	// receiveQueue is the number of packets held between socket and protocol.
+	receiveQueue = 256
+	// socketBufferBytes absorbs a burst while the process waits for a processor.
+	socketBufferBytes = 1 << 20
+	// maxDatagramBytes is the largest datagram that is read completely.
+	maxDatagramBytes = 2048
+)
+
+// UDP is the transport over one UDP socket.
+type UDP struct {
+	conn    *net.UDPConn
+	packets chan Datagram
+}
+
+// ListenUDP opens a socket at an IP address and port.
+func ListenUDP(address string) (*UDP, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "membership: gossip address %q has to be an IP address and port", address)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(parsed))
+	if err != nil {
+		return nil, errors.Wrapf(err, "membership: listen on %s", address)
+	}
+	// A kernel that grants less than the wanted buffer only drops earlier.
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	u := &UDP{conn: conn, packets: make(chan Datagram, receiveQueue)}
+	go u.read()
+	return u, nil
+}
+
+// Address returns the address of the socket.
+func (u *UDP) Address() string {
+	return u.conn.LocalAddr().String()
+}
+
+// Send implements Transport.
+func (u *UDP) Send(address string, payload []byte) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Wrapf(err, "membership: gossip address %q", address)
+	}
+	_, err = u.conn.WriteToUDPAddrPort(payload, to)
+	return errors.Wrapf(err, "membership: send to %s", address)
+}
+
+// Packets implements Transport.
+func (u *UDP) Packets() <-chan Datagram {
+	return u.packets
+}
+
+// Close implements Transport.
+func (u *UDP) Close() error {
+	return u.conn.Close()
+}
+
+// read passes packets on until the socket is closed. A packet that finds the
+// queue full is dropped, as the network might have done.
+func (u *UDP) read() {
+	defer close(u.packets)
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		n, from, err := u.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		datagram := Datagram{From: from.String(), Payload: append([]byte(nil), buffer[:n]...)}
+		select {
+		case u.packets <- datagram:
+		default:
+		}
+	}
+}
