--- /dev/null
+++ b/internal/node/listeners.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/nodeconfig"
+)
+
+// Addresses are the listeners of a node with their real ports.
+type Addresses struct {
+	Caller   string `json:"caller"`
+	Loopback string `json:"loopback"`
+	Peer     string `json:"peer"`
+	Gossip   string `json:"gossip"`
+	Admin    string `json:"admin"`
+}
+
+// listeners holds the open sockets of a node.
+type listeners struct {
+	caller, loopback, peer, admin net.Listener
+	gossip                        *membership.UDP
+}
+
+func openListeners(c nodeconfig.Listen) (*listeners, error) {
+	l := &listeners{}
+	for _, tcp := range []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"caller", c.Caller, &l.caller},
+		{"loopback", c.Loopback, &l.loopback},
+		{"peer", c.Peer, &l.peer},
+		{"admin", c.Admin, &l.admin},
+	} {
+		opened, err := net.Listen("tcp", tcp.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrapf(err, "listen.%s %q", tcp.name, tcp.address)
+		}
+		*tcp.listener = opened
+	}
+	gossip, err := membership.ListenUDP(c.Gossip)
+	if err != nil {
+		l.close()
+		return nil, errors.Wrap(err, "listen.gossip")
+	}
+	l.gossip = gossip
+	return l, nil
+}
+
+func (l *listeners) addresses() Addresses {
+	return Addresses{
+		Caller:   l.caller.Addr().String(),
+		Loopback: l.loopback.Addr().String(),
+		Peer:     l.peer.Addr().String(),
+		Gossip:   l.gossip.Address(),
+		Admin:    l.admin.Addr().String(),
+	}
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.loopback, l.peer, l.admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+	if l.gossip != nil {
+		_ = l.gossip.Close()
+	}
+}
