Settings tree in memory and the daemon's settings file

Cause: nodes need the settings of each call without waiting for anything, and a settings file whose mistakes are found before the daemon serves calls.

An invalid object is refused on its own: its last good state stays in force and the other changes of the revision apply, so that one bad object cannot hold back the fleet's later edits.

--- /dev/null
+++ b/internal/settings/edit.go
@@ -0,0 +1,154 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Change sets or unsets one field of a scope.
+type Change struct {
+	Scope ScopeName
+	Field string
+	// Value is the new JSON value; nil unsets the field.
+	Value json.RawMessage
+	// SetBy, Reason and SetAt are recorded with the change. SetBy and Reason are
+	// mandatory.
+	SetBy, Reason string
+	SetAt         time.Time
+}
+
+// String names the change for people.
+func (c Change) String() string {
+	if c.Value == nil {
+		return fmt.Sprintf("%s: unset %s", c.Scope, c.Field)
+	}
+	return fmt.Sprintf("%s: %s = %s", c.Scope, c.Field, ShowText(c.Value))
+}
+
+// Check refuses a change that lacks a reason or an author, or whose field or
+// value is not accepted at its level.
+func (c Change) Check() error {
+	if !hasText(c.Reason) || len(c.Reason) > MaxReasonBytes {
+		return resultcode.New(resultcode.SettingsInvalid, "%s: reason %q: want 1 to %d bytes of text", c, c.Reason, MaxReasonBytes)
+	}
+	if !hasText(c.SetBy) || len(c.SetBy) > MaxSetByBytes {
+		return resultcode.New(resultcode.SettingsInvalid, "%s: author %q: want 1 to %d bytes of text", c, c.SetBy, MaxSetByBytes)
+	}
+	if c.Value == nil {
+		return c.checkUnset()
+	}
+	scope := &Scope{Overrides: Overrides{}}
+	scope.put(c.Scope.Kind, c.Field, c.override())
+	_, err := Encode(c.Scope, scope)
+	return err
+}
+
+func (c Change) checkUnset() error {
+	if _, ok := LookupField(c.Field); !ok {
+		return resultcode.New(resultcode.SettingsInvalid, "%s: unknown field %q: want one of %s", c.Scope, c.Field, fieldNames())
+	}
+	return nil
+}
+
+func (c Change) override() Override {
+	return Override{Value: c.Value, SetBy: c.SetBy, Reason: c.Reason, SetAt: c.SetAt.UTC()}
+}
+
+// HasEffect tells whether the change would alter the field's value.
+func (c Change) HasEffect(scope *Scope) bool {
+	current, given := scope.At(c.Scope.Kind)[c.Field]
+	if c.Value == nil || !given {
+		return given || c.Value != nil
+	}
+	return !sameJSON(current.Value, c.Value)
+}
+
+// With returns the scope after the changes, recorded in its history under the
+// write id. The receiver stays as it is.
+func (s *Scope) With(writeID string, changes []Change) *Scope {
+	next := s.clone()
+	ids := append([]string{writeID}, s.WriteIDs...)
+	next.WriteIDs = ids[:min(len(ids), maxWriteIDs)]
+	for _, change := range changes {
+		next.make(change)
+	}
+	return next
+}
+
+func (s *Scope) make(c Change) {
+	kind := c.Scope.Kind
+	previous, given := s.At(kind)[c.Field]
+	if given {
+		s.remember(previous.record(kind, c.Field))
+	}
+	if c.Value != nil {
+		s.put(kind, c.Field, c.override())
+		return
+	}
+	if given {
+		s.remove(kind, c.Field)
+		s.remember(Record{Kind: kind, Field: c.Field, Unset: true, SetBy: c.SetBy, Reason: c.Reason, SetAt: c.SetAt.UTC()})
+	}
+}
+
+func (s *Scope) put(kind, field string, override Override) {
+	if kind == "" {
+		s.Overrides[field] = override
+		return
+	}
+	for i := range s.Kinds {
+		if s.Kinds[i].Name == kind {
+			s.Kinds[i].Overrides[field] = override
+			return
+		}
+	}
+	s.Kinds = append(s.Kinds, Kind{Name: kind, Overrides: Overrides{field: override}})
+}
+
+// remove drops a kind with its last override.
+func (s *Scope) remove(kind, field string) {
+	delete(s.At(kind), field)
+	for i := range s.Kinds {
+		if s.Kinds[i].Name == kind && len(s.Kinds[i].Overrides) == 0 {
+			s.Kinds = append(s.Kinds[:i], s.Kinds[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Scope) clone() *Scope {
+	next := &Scope{
+		WriteIDs:  append([]string(nil), s.WriteIDs...),
+		Overrides: s.Overrides.clone(),
+		History:   append([]Record(nil), s.History...),
+	}
+	for _, kind := range s.Kinds {
+		next.Kinds = append(next.Kinds, Kind{Name: kind.Name, Overrides: kind.Overrides.clone()})
+	}
+	return next
+}
+
+func (o Overrides) clone() Overrides {
+	next := make(Overrides, len(o))
+	for name, override := range o {
+		next[name] = override
+	}
+	return next
+}
+
+// Same tells whether two overrides are the same decision.
+func (o Override) Same(other Override) bool {
+	return o.SetBy == other.SetBy && o.Reason == other.Reason && o.SetAt.Equal(other.SetAt) && sameJSON(o.Value, other.Value)
+}
+
+func sameJSON(a, b json.RawMessage) bool {
+	var left, right bytes.Buffer
+	if json.Compact(&left, a) != nil || json.Compact(&right, b) != nil {
+		return bytes.Equal(a, b)
+	}
+	return bytes.Equal(left.Bytes(), right.Bytes())
+}
--- /dev/null
+++ b/internal/settings/main_test.go
@@ -0,0 +1,18 @@
+package settings
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the randomised tests, so that a failure repeats.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/settings/match_rule.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"regexp"
+	"strings"
+)
+
+// Limits of a kind's match list.
+const (
+	maxMatchRules  = 32
+	maxPrefixBytes = 256
+	anyMethod      = "*"
+	wantMatchRule  = `a method or * and a path prefix, such as "POST /photos" or "* /history"`
+)
+
+var methodPattern = regexp.MustCompile(`^([A-Z]{1,20}|\*)$`)
+
+// MatchRule selects calls by method and path prefix.
+type MatchRule struct {
+	// Method is an HTTP method, or "*" for any.
+	Method string
+	// Prefix covers whole path segments: "/photos" matches "/photos" and
+	// "/photos/1" but not "/photostream".
+	Prefix string
+}
+
+// String returns the form used in settings, "POST /photos".
+func (r MatchRule) String() string {
+	return r.Method + " " + r.Prefix
+}
+
+func (r MatchRule) matches(method, path string) bool {
+	if r.Method != anyMethod && r.Method != method {
+		return false
+	}
+	if !strings.HasPrefix(path, r.Prefix) {
+		return false
+	}
+	whole := strings.HasSuffix(r.Prefix, "/") || len(path) == len(r.Prefix)
+	return whole || path[len(r.Prefix)] == '/'
+}
+
+func parseMatchRule(text string) (MatchRule, bool) {
+	method, prefix, _ := strings.Cut(text, " ")
+	if !methodPattern.MatchString(method) || !strings.HasPrefix(prefix, "/") {
+		return MatchRule{}, false
+	}
+	if len(prefix) > maxPrefixBytes || strings.ContainsAny(prefix, " ?#,\t\r\n") {
+		return MatchRule{}, false
+	}
+	return MatchRule{Method: method, Prefix: prefix}, true
+}
--- /dev/null
+++ b/internal/settings/refusal.go
@@ -0,0 +1,41 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrOldRevision means that a revision is not newer than the one in force.
+var ErrOldRevision = errors.New("settings: the revision is not newer than the one in force")
+
+// Refusal is an object state that a node did not bring into force.
+type Refusal struct {
+	Key      string
+	Revision int64
+	// Err is a SettingsInvalid error.
+	Err error
+}
+
+// RefusedError lists the objects that were refused while the rest of a revision
+// came into force.
+type RefusedError struct {
+	Revision int64
+	// Refusals is never empty and sorted by key.
+	Refusals []Refusal
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	lines := make([]string, 0, len(e.Refusals))
+	for _, r := range e.Refusals {
+		lines = append(lines, fmt.Sprintf("revision %d of %s refused, its last good state stays in force: %v", r.Revision, r.Key, r.Err))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the first refusal's error, which carries the result code.
+func (e *RefusedError) Unwrap() error {
+	return e.Refusals[0].Err
+}
--- /dev/null
+++ b/internal/strictjson/node.go
@@ -0,0 +1,154 @@
+// Package strictjson reads JSON documents that people edit. Unlike
+// encoding/json it refuses unknown, duplicate and differently cased member
+// names, and it reports all problems of a document with their paths.
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// Node is one value of a document with its path. Its methods record a problem
+// and return false when the value has another shape.
+type Node struct {
+	// Path is empty for the document itself.
+	Path string
+	// Raw is the value's JSON text.
+	Raw      json.RawMessage
+	problems *Problems
+}
+
+// Parse returns the document's top value. It records a problem and returns
+// false when data is not one JSON value in UTF-8.
+func Parse(data []byte, problems *Problems) (Node, bool) {
+	if !utf8.Valid(data) {
+		problems.Add("", "invalid bytes", "JSON in UTF-8")
+		return Node{}, false
+	}
+	var raw json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		problems.Add("", "not JSON: "+err.Error(), "one JSON object")
+		return Node{}, false
+	}
+	return Node{Raw: bytes.TrimSpace(raw), problems: problems}, true
+}
+
+// Refuse records that the value is not what is wanted.
+func (n Node) Refuse(want string) {
+	n.problems.Add(n.Path, string(n.Raw), want)
+}
+
+// Object returns the members of an object. Members that are not allowed and
+// members given twice are recorded as problems and left out.
+func (n Node) Object(allowed ...string) (Object, bool) {
+	return n.object(allowed, true)
+}
+
+// Map returns the members of an object whose names are not fixed.
+func (n Node) Map() (Object, bool) {
+	return n.object(nil, false)
+}
+
+func (n Node) object(allowed []string, fixed bool) (Object, bool) {
+	if n.first() != '{' {
+		n.Refuse("an object")
+		return Object{}, false
+	}
+	object := Object{node: n, members: make(map[string]Node)}
+	decoder := json.NewDecoder(bytes.NewReader(n.Raw))
+	if _, err := decoder.Token(); err != nil {
+		n.Refuse("an object")
+		return Object{}, false
+	}
+	for decoder.More() {
+		name, raw, err := readMember(decoder)
+		if err != nil {
+			n.Refuse("an object")
+			return Object{}, false
+		}
+		object.add(name, raw, allowed, fixed)
+	}
+	return object, true
+}
+
+func readMember(decoder *json.Decoder) (string, json.RawMessage, error) {
+	token, err := decoder.Token()
+	if err != nil {
+		return "", nil, err
+	}
+	name, _ := token.(string)
+	var raw json.RawMessage
+	err = decoder.Decode(&raw)
+	return name, raw, err
+}
+
+// List returns the elements of a list.
+func (n Node) List() ([]Node, bool) {
+	if n.first() != '[' {
+		n.Refuse("a list")
+		return nil, false
+	}
+	var raw []json.RawMessage
+	if err := json.Unmarshal(n.Raw, &raw); err != nil {
+		n.Refuse("a list")
+		return nil, false
+	}
+	nodes := make([]Node, len(raw))
+	for i, element := range raw {
+		nodes[i] = Node{Path: fmt.Sprintf("%s[%d]", n.Path, i), Raw: element, problems: n.problems}
+	}
+	return nodes, true
+}
+
+// Text returns a string.
+func (n Node) Text() (string, bool) {
+	var text string
+	if n.first() != '"' || json.Unmarshal(n.Raw, &text) != nil {
+		n.Refuse("text in quotes")
+		return "", false
+	}
+	return text, true
+}
+
+// Int returns a whole number without fraction or exponent.
+func (n Node) Int() (int64, bool) {
+	value, err := strconv.ParseInt(string(n.Raw), 10, 64)
+	if err != nil {
+		n.Refuse("a whole number")
+		return 0, false
+	}
+	return value, true
+}
+
+// Float returns a number.
+func (n Node) Float() (float64, bool) {
+	var value float64
+	if strings.IndexByte("-0123456789", n.first()) < 0 || json.Unmarshal(n.Raw, &value) != nil {
+		n.Refuse("a number")
+		return 0, false
+	}
+	return value, true
+}
+
+// Bool returns true or false.
+func (n Node) Bool() (bool, bool) {
+	switch string(n.Raw) {
+	case "true":
+		return true, true
+	case "false":
+		return false, true
+	}
+	n.Refuse("true or false")
+	return false, false
+}
+
+func (n Node) first() byte {
+	if len(n.Raw) == 0 {
+		return 0
+	}
+	return n.Raw[0]
+}
--- /dev/null
+++ b/internal/strictjson/units.go
@@ -0,0 +1,100 @@
+package strictjson
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Units of sizes in bytes.
+const (
+	KiB int64 = 1 << 10
+	MiB int64 = 1 << 20
+	GiB int64 = 1 << 30
+)
+
+var sizeUnits = []struct {
+	suffix string
+	bytes  int64
+}{{"KiB", KiB}, {"MiB", MiB}, {"GiB", GiB}, {"B", 1}}
+
+// Duration returns a duration within the range, written as text with a unit
+// such as "250ms" or "1h30m".
+func (n Node) Duration(least, most time.Duration) (time.Duration, bool) {
+	want := fmt.Sprintf("a duration from %s to %s, such as \"250ms\", \"10s\" or \"1h30m\"", FormatDuration(least), FormatDuration(most))
+	var value time.Duration
+	text, ok := n.quoted(want)
+	if !ok {
+		return 0, false
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil || strings.HasPrefix(text, "+") || value < least || value > most {
+		n.Refuse(want)
+		return 0, false
+	}
+	return value, true
+}
+
+// Size returns a number of bytes within the range, written as text with a unit
+// such as "64KiB" or "1GiB".
+func (n Node) Size(least, most int64) (int64, bool) {
+	want := fmt.Sprintf("a size from %s to %s in B, KiB, MiB or GiB, such as \"64KiB\"", FormatSize(least), FormatSize(most))
+	text, ok := n.quoted(want)
+	if !ok {
+		return 0, false
+	}
+	value, ok := parseSize(text)
+	if !ok || value < least || value > most {
+		n.Refuse(want)
+		return 0, false
+	}
+	return value, true
+}
+
+// quoted is Text with the caller's description of what is wanted.
+func (n Node) quoted(want string) (string, bool) {
+	if n.first() != '"' {
+		n.Refuse(want)
+		return "", false
+	}
+	return n.Text()
+}
+
+func parseSize(text string) (int64, bool) {
+	for _, unit := range sizeUnits {
+		digits, found := strings.CutSuffix(text, unit.suffix)
+		if !found {
+			continue
+		}
+		count, err := strconv.ParseUint(digits, 10, 63)
+		if err != nil || count > uint64((1<<62)/unit.bytes) {
+			return 0, false
+		}
+		return int64(count) * unit.bytes, true
+	}
+	return 0, false
+}
+
+// FormatDuration writes a duration without zero parts, "10m" rather than
+// "10m0s".
+func FormatDuration(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+// FormatSize writes a size in the largest unit that divides it.
+func FormatSize(bytes int64) string {
+	for _, unit := range []int{2, 1, 0} {
+		if bytes != 0 && bytes%sizeUnits[unit].bytes == 0 {
+			return fmt.Sprintf("%d%s", bytes/sizeUnits[unit].bytes, sizeUnits[unit].suffix)
+		}
+	}
+	return fmt.Sprintf("%dB", bytes)
+}
