--- /dev/null
+++ b/internal/retry/hedge.go
@@ -0,0 +1,35 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+)
+
+// HedgeCost is what a hedge takes from the call's allowance.
+var HedgeCost = call.Allowance{Retries: 1}
+
+// HedgeRequest describes a call whose first attempt is still running.
+type HedgeRequest struct {
+	// Enabled is the hedge setting of the kind.
+	Enabled    bool
+	Idempotent bool
+	// Replayable is set when the request body can be sent again in full.
+	Replayable bool
+	// Attempts is the number of attempts made so far; only a call with a single
+	// attempt is hedged.
+	Attempts int
+	// Untried is the number of ready instances that this call has not tried.
+	Untried int
+	// Delay is that of balancer.HedgeDelay, Remaining the time left now.
+	Delay, Remaining time.Duration
+	Left             call.Allowance
+}
+
+// MayHedge reports whether a second attempt may start after Delay if the first
+// has not answered by then.
+func MayHedge(r HedgeRequest) bool {
+	allowed := r.Enabled && r.Idempotent && r.Replayable
+	possible := r.Attempts == 1 && r.Untried > 0 && r.Remaining > r.Delay
+	return allowed && possible && r.Left.Retries >= HedgeCost.Retries
+}
