Thin path end to end with real processes

One call now crosses three services: caller listener, peer listener, upstream, and the child calls back through the loopback listener.

--- /dev/null
+++ b/internal/node/changes.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/upstream"
+)
+
+// upstreamChanged announces the upstream's state to the fleet. The node's own
+// record does not come back as an event, so the directory is told directly.
+func (n *Node) upstreamChanged(s upstream.State) {
+	n.members.UpdateLocal(func(a *membership.Announcement) {
+		a.Service = s.Service
+		a.Slots = s.Slots
+		a.UpstreamReady = s.Available()
+		a.Draining = s.Draining || n.callers.Draining()
+		a.Ready = s.ReadySince
+	})
+	n.directory.applyOwn(n.members.Self())
+	if s.Draining {
+		n.work.Begin()
+	}
+}
+
+// settingsChanged applies a new revision of the settings.
+func (n *Node) settingsChanged(revision int64) {
+	n.upstream.Reconfigure()
+	n.router.Reconfigure()
+	n.members.UpdateLocal(func(a *membership.Announcement) { a.SettingsRevision = revision })
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -18,6 +18,8 @@
 
 	mu       sync.Mutex
 	services map[string]map[string]membership.Member
+	// own is the node's own record as last applied.
+	own *membership.Member
 }
 
 func newDirectory(sink instanceSink) *directory {
@@ -79,3 +81,12 @@
 	}
 	d.sink.SetInstances(service, instances)
 }
+
+// applyOwn takes the node's own record, for which membership sends no event.
+func (d *directory) applyOwn(m membership.Member) {
+	d.mu.Lock()
+	previous := d.own
+	d.own = &m
+	d.mu.Unlock()
+	d.apply(membership.Event{Previous: previous, Current: m})
+}
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,16 @@
+package node
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+func (n *Node) serve(server *http.Server, listener net.Listener) {
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error().Err(err).Stringer("address", listener.Addr()).Msg("listener failed")
+		}
+	}()
+}
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/admission"
+)
+
+// Status is what the admin listener shows of the node itself.
+type Status struct {
+	ID               string         `json:"id"`
+	Region           string         `json:"region"`
+	FailureDomain    string         `json:"failure_domain"`
+	Addresses        Addresses      `json:"addresses"`
+	Service          string         `json:"service"`
+	Available        bool           `json:"available"`
+	Draining         bool           `json:"draining"`
+	Load             admission.Load `json:"load"`
+	Members          int            `json:"members"`
+	SettingsRevision int64          `json:"settings_revision"`
+	SettingsRefused  []string       `json:"settings_refused,omitempty"`
+}
+
+func (n *Node) status() any {
+	state := n.upstream.State()
+	s := Status{
+		ID:               n.config.NodeID,
+		Region:           n.config.Region,
+		FailureDomain:    n.config.FailureDomain,
+		Addresses:        n.Addresses(),
+		Service:          state.Service,
+		Available:        state.Available(),
+		Draining:         state.Draining || n.callers.Draining(),
+		Load:             n.upstream.Admission().Load(),
+		Members:          len(n.members.Members()),
+		SettingsRevision: n.settings.holder.Revision(),
+	}
+	for _, r := range n.settings.holder.Refusals() {
+		s.SettingsRefused = append(s.SettingsRefused, r.Key+": "+r.Err.Error())
+	}
+	return s
+}
+
+// memberView is one row of the members table on the admin listener.
+type memberView struct {
+	ID               string
+	Incarnation      uint64
+	State            string
+	Peer             string
+	Region           string
+	FailureDomain    string
+	Service          string
+	Slots            int
+	UpstreamReady    bool
+	Draining         bool
+	Ready            time.Time
+	SettingsRevision int64
+}
+
+func (n *Node) membersView() any {
+	members := n.members.Members()
+	view := make([]memberView, 0, len(members))
+	for _, m := range members {
+		view = append(view, memberView{
+			ID: m.ID, Incarnation: m.Incarnation, State: m.State.String(), Peer: m.Addresses.Peer,
+			Region: m.Region, FailureDomain: m.FailureDomain, Service: m.Service, Slots: m.Slots,
+			UpstreamReady: m.UpstreamReady, Draining: m.Draining, Ready: m.Ready, SettingsRevision: m.SettingsRevision,
+		})
+	}
+	return view
+}
+
+func (n *Node) ready() error {
+	if n.callers.Draining() {
+		return errors.New("the node is shutting down")
+	}
+	return nil
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -61,6 +61,9 @@
 		Prefix:         "mustardwing",
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+		// Prometheus refuses the dots in tally's own names.
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	t.Metrics = scope
 	t.MetricsHandler = reporter.HTTPHandler()
--- /dev/null
+++ b/test/bench/latency.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/standin/loadgen"
+	"github.com/mustardwing/mustardwing/test/fleet"
+)
+
+const (
+	latencyDuration = 8 * time.Second
+	latencyWarmUp   = 2 * time.Second
+)
+
+// LatencyRow compares calls to an upstream with and without the nodes.
+type LatencyRow struct {
+	// Share of the slots in use.
+	Share                  float64
+	DirectP50, DirectP99   float64
+	ThroughP50, ThroughP99 float64
+	// CPUMicros is the processor time of both nodes for each call.
+	CPUMicros float64
+}
+
+// MeasureLatency sends the same load to one upstream directly and through two
+// nodes: that of the caller and the one beside the upstream.
+func MeasureLatency(ctx context.Context, f *fleet.Fleet, service string, share float64, seed uint64) (LatencyRow, error) {
+	instance := f.Instances(service)[0]
+	entry := f.Instances("entry")[0]
+	rate := share * float64(instance.Service.Slots) / instance.Service.ServiceTime.Seconds()
+	class := loadgen.Class{Name: normal, Service: service, Kind: normal, Method: http.MethodGet, Rate: rate}
+	row := LatencyRow{Share: share}
+	direct, err := latencyLoad(ctx, "http://"+instance.Upstream.FirstLine, class, seed)
+	if err != nil {
+		return row, err
+	}
+	before := cpuTime(entry.Node.Pid()) + cpuTime(instance.Node.Pid())
+	through, err := latencyLoad(ctx, "http://"+entry.Node.Addresses.Caller, class, seed)
+	if err != nil {
+		return row, err
+	}
+	used := cpuTime(entry.Node.Pid()) + cpuTime(instance.Node.Pid()) - before
+	if through.Failed > 0 || direct.Failed > 0 {
+		return row, errors.Errorf("failed calls: %d direct, %d through the nodes %v", direct.Failed, through.Failed, through.Codes)
+	}
+	row.DirectP50, row.DirectP99 = direct.QuantileMs(50), direct.QuantileMs(99)
+	row.ThroughP50, row.ThroughP99 = through.QuantileMs(50), through.QuantileMs(99)
+	calls := float64(through.Attempts) * (latencyDuration + latencyWarmUp).Seconds() / latencyDuration.Seconds()
+	row.CPUMicros = float64(used.Microseconds()) / calls
+	return row, nil
+}
+
+// latencyLoad warms connections up before it measures.
+func latencyLoad(ctx context.Context, target string, class loadgen.Class, seed uint64) (*loadgen.ClassResult, error) {
+	var result *loadgen.Result
+	for _, duration := range []time.Duration{latencyWarmUp, latencyDuration} {
+		var err error
+		result, err = loadgen.Run(ctx, loadgen.Config{
+			Targets: []string{target},
+			Classes: []loadgen.Class{class},
+			Phases:  []loadgen.Phase{{Duration: duration, Factor: 1}},
+			Timeout: clientTimeout,
+			Seed:    seed,
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return result.Classes[class.Name], nil
+}
--- /dev/null
+++ b/test/bench/proc.go
@@ -0,0 +1,43 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the kernel's unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// cpuTime reads the processor time that a process has used.
+func cpuTime(pid int) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	text := string(data)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	const userField, systemField = 11, 12
+	user, _ := strconv.ParseInt(fields[userField], 10, 64)
+	system, _ := strconv.ParseInt(fields[systemField], 10, 64)
+	return time.Duration(user+system) * clockTick
+}
+
+// ResidentMB reads a process's resident memory.
+func ResidentMB(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(strings.Fields(string(data))[1], 10, 64)
+	return float64(pages*int64(os.Getpagesize())) / (1 << 20)
+}
+
+// IdleCPU returns the share of a core that a process uses over a time.
+func IdleCPU(pid int, d time.Duration) float64 {
+	before := cpuTime(pid)
+	time.Sleep(d)
+	return (cpuTime(pid) - before).Seconds() / d.Seconds()
+}
--- /dev/null
+++ b/test/cmd/latency/main.go
@@ -0,0 +1,67 @@
+// Command latency measures the latency and processor time that the nodes add to
+// a call, and what an idle daemon uses.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/test/bench"
+	"github.com/mustardwing/mustardwing/test/fleet"
+)
+
+const idleTime = 10 * time.Second
+
+func main() {
+	binDir := flag.String("bin", "bin", "directory of the programs")
+	seed := flag.Uint64("seed", 1, "seed of the arrivals")
+	serviceTime := flag.Duration("service-time", 20*time.Millisecond, "service time of the upstream")
+	flag.Parse()
+	if err := run(context.Background(), *binDir, *seed, *serviceTime); err != nil {
+		fmt.Fprintln(os.Stderr, "latency:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, binDir string, seed uint64, serviceTime time.Duration) error {
+	workDir, err := os.MkdirTemp("", "mustardwing-latency")
+	if err != nil {
+		return errors.Wrap(err, "work directory")
+	}
+	defer os.RemoveAll(workDir)
+	d := fleet.Deployment{
+		Region:         "ro",
+		FailureDomains: []string{"ro-a", "ro-b"},
+		Services: []fleet.ServiceSpec{
+			{Name: "entry", Instances: 1, Slots: 35, Connections: 300, ServiceTime: time.Millisecond},
+			{Name: "search", Instances: 1, Slots: 35, Connections: 300, ServiceTime: serviceTime},
+		},
+		Policy:   "full",
+		LogLevel: "warn",
+	}
+	d.Settings = bench.Settings(d.Services)
+	f, err := fleet.Start(ctx, binDir, workDir, d)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	pid := f.Instances("search")[0].Node.Pid()
+	fmt.Printf("idle daemon: %.2f %% of a core, %.1f MB resident\n\n", 100*bench.IdleCPU(pid, idleTime), bench.ResidentMB(pid))
+	fmt.Println("| share of slots | direct p50 ms | direct p99 ms | through p50 ms | through p99 ms | added p50 ms | added p99 ms | CPU us per call, both nodes |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, share := range []float64{0.1, 0.5, 0.8} {
+		row, err := bench.MeasureLatency(ctx, f, "search", share, seed)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("| %.0f %% | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.0f |\n", 100*share, row.DirectP50, row.DirectP99,
+			row.ThroughP50, row.ThroughP99, row.ThroughP50-row.DirectP50, row.ThroughP99-row.DirectP99, row.CPUMicros)
+	}
+	fmt.Printf("\nafter load: %.1f MB resident\n", bench.ResidentMB(pid))
+	return nil
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -66,13 +66,13 @@
 			return err
 		}
 	}
-	group, ctx := errgroup.WithContext(ctx)
+	group, starting := errgroup.WithContext(ctx)
 	total := 0
 	for _, service := range f.Deployment.Services {
 		for range service.Instances {
 			total++
 			group.Go(func() error {
-				_, err := f.AddInstance(ctx, service)
+				_, err := f.AddInstance(starting, service)
 				return err
 			})
 		}
