Upstream: tests for cuts, replays, refusals and the connection limit

Cause: the sending side had no failure tests, and a caller that stops reading or sending could hold a call past its deadline.

Result: go test ./... and go test -race -count=3 ./internal/upstream pass. Each test failed on a trial run with its mechanism off: replay block, byte count, close-delimited check, declared refusal, id check, and the connection limit with both of its checks off.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -48,6 +48,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
 	if c.Tracer == nil {
 		c.Tracer = relay.NoTracer()
 	}
@@ -83,13 +86,14 @@
 
 // front is what the two listeners have in common.
 type front struct {
-	config Config
-	counts *relay.Counters
+	config  Config
+	counts  *relay.Counters
+	aborted tally.Counter
 }
 
 func newFront(config Config, name string) front {
 	config = config.withDefaults()
-	return front{config: config, counts: relay.NewCounters(config.Scope, name)}
+	return front{config: config, counts: relay.NewCounters(config.Scope, name), aborted: config.Scope.Counter(name + "_aborted")}
 }
 
 // accept checks what can be checked without knowing the service.
@@ -197,7 +201,7 @@
 
 // serve carries out a call and answers it.
 func (f *front) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, m call.Metadata, values settings.Values, parent child) {
-	ctx, cancel := context.WithDeadline(ctx, m.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, m.Deadline.Add(answerGrace))
 	defer cancel()
 	if r.ContentLength > values.MaxBodyBytes {
 		f.refuse(w, m.RequestID, resultcode.New(resultcode.BodyTooLarge, "body has %d bytes: want at most %d", r.ContentLength, values.MaxBodyBytes))
@@ -208,6 +212,7 @@
 		// and a refusal would wait for a slow upload.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
+	defer limitIO(ctx, w, r.ContentLength != 0).release()
 	request := peer.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength}
 	body := router.NewBody(newLimitedBody(r.Body, values.MaxBodyBytes), r.ContentLength)
 	outgoing, response, err := f.config.Router.Start(ctx, m, request, body, values.Hedge)
@@ -242,6 +247,7 @@
 	}
 	_, readErr, writeErr := relay.Copy(w, response, relay.FlushNeeded(response.ContentLength))
 	if readErr != nil || writeErr != nil {
+		f.aborted.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
 	relay.CopyTrailer(w, response.Trailer())
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -23,7 +23,10 @@
 	n, err := b.source.Read(p)
 	b.left -= int64(n)
 	if b.left < 0 {
-		return 0, resultcode.New(resultcode.RequestInterrupted, "body exceeds %d bytes", b.limit)
+		return 0, resultcode.New(resultcode.BodyTooLarge, "body exceeds %d bytes", b.limit)
+	}
+	if err != nil && err != io.EOF {
+		err = resultcode.Wrap(err, resultcode.CallerGone, "the caller's request body ended early")
 	}
 	return n, err
 }
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
@@ -111,7 +112,7 @@
 		Kind: m.Kind, Priority: m.Priority, Rank: m.Rank(), Deadline: m.Deadline,
 	})
 	if err != nil {
-		return err
+		return notAdmitted(ctx, err)
 	}
 	e := &execution{handler: h, metadata: m, slot: slot}
 	defer e.end()
@@ -127,6 +128,15 @@
 	return e.run(ctx, w, r)
 }
 
+// notAdmitted tells a caller that went away from one whose time ran out in the
+// queue.
+func notAdmitted(ctx context.Context, err error) error {
+	if resultcode.From(err).Code == resultcode.CallerGone && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return resultcode.Wrap(err, resultcode.DeadlineInsufficient, "the time ran out in the queue")
+	}
+	return err
+}
+
 // servesService refuses calls that a stale members table sent here.
 func (h *Handler) servesService(service string) error {
 	state := h.config.Upstream.State()
--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -26,6 +26,7 @@
 	// gate guards the decision to read past the buffer.
 	gate     sync.Mutex
 	consumed bool
+	failure  error
 }
 
 // NewBody returns a body of the given length, negative when unknown.
@@ -127,6 +128,7 @@
 	v.position += n
 	if err != nil {
 		b.ended = err
+		b.fail(err)
 	}
 	return n, false, err
 }
@@ -150,5 +152,24 @@
 	}
 	b.consumed = true
 	b.gate.Unlock()
-	return b.source.Read(p)
+	n, err := b.source.Read(p)
+	b.fail(err)
+	return n, err
+}
+
+// fail remembers an error of the source.
+func (b *Body) fail(err error) {
+	if err == nil || err == io.EOF {
+		return
+	}
+	b.gate.Lock()
+	defer b.gate.Unlock()
+	b.failure = err
+}
+
+// Err returns the error that ended the body early, and nil otherwise.
+func (b *Body) Err() error {
+	b.gate.Lock()
+	defer b.gate.Unlock()
+	return b.failure
 }
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -42,6 +42,16 @@
 	return b.left.Retries > 0
 }
 
+// refund takes back a payment for an attempt that was not made.
+func (b *budget) refund(d decision) {
+	if b.baseline || d != move {
+		return
+	}
+	cost := call.Allowance{Moves: 1}
+	b.left = b.left.Plus(cost)
+	b.spent = b.spent.Minus(cost)
+}
+
 // pay spends one move, or one retry for a retry or a hedge.
 func (b *budget) pay(d decision) {
 	if b.baseline {
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -28,6 +28,8 @@
 	budget   budget
 	excluded []string
 	lowest   bool
+	// refusal is the not-run outcome that the next attempt is a move after.
+	refusal *resultcode.Error
 	// earlier is a failure of an earlier attempt that may have run the call.
 	earlier *resultcode.Error
 	final   outcome
@@ -75,6 +77,11 @@
 // next picks an instance and sends one attempt, hedged where that is allowed.
 func (c *Call) next(ctx context.Context) (outcome, error) {
 	choice, err := c.pick()
+	if err != nil && c.refusal != nil {
+		// Every instance has refused; the move was not made.
+		c.budget.refund(move)
+		return outcome{}, c.refusal
+	}
 	if err != nil {
 		return outcome{}, err
 	}
@@ -89,8 +96,8 @@
 		Kind: c.metadata.Kind, Priority: c.metadata.Priority, Rank: c.metadata.Rank(),
 		Exclude: c.excluded, LowestLevel: c.lowest,
 	})
-	if err != nil && len(c.excluded) > 0 && resultcode.From(err).Code == resultcode.NoInstance {
-		// All instances were tried; with allowance left they are tried again.
+	if err != nil && c.refusal == nil && len(c.excluded) > 0 && resultcode.From(err).Code == resultcode.NoInstance {
+		// A retry, unlike a move, may go to an instance that was tried.
 		c.excluded = c.excluded[:0]
 		return c.pick()
 	}
@@ -120,7 +127,7 @@
 
 // tryAgain decides about another attempt, pays for it and ends this one.
 func (c *Call) tryAgain(ctx context.Context, o outcome) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !c.router.config.Now().Before(c.metadata.Deadline) {
 		return false
 	}
 	next := decide(o, c.metadata.Idempotent)
@@ -128,8 +135,10 @@
 		return false
 	}
 	c.budget.pay(next)
+	c.refusal = nil
 	switch next {
 	case move:
+		c.refusal = o.failure
 		c.router.moves.Inc(1)
 	case again:
 		c.router.retries.Inc(1)
@@ -145,7 +154,7 @@
 	if c.body.Empty() {
 		return true
 	}
-	if !c.body.Replayable() {
+	if !c.body.Replayable() || c.body.Err() != nil {
 		return false
 	}
 	_ = o.view.Close()
@@ -181,7 +190,20 @@
 		return o, nil
 	}
 	c.settle(o)
-	return outcome{}, c.conclude(o.failure)
+	return outcome{}, c.conclude(c.interrupted(o.failure))
+}
+
+// interrupted replaces a failure whose cause is the request body.
+func (c *Call) interrupted(failure *resultcode.Error) *resultcode.Error {
+	cause := c.body.Err()
+	if cause == nil || failure.Execution == resultcode.Run {
+		return failure
+	}
+	code := resultcode.RequestInterrupted
+	if failure.Execution == resultcode.NotRun {
+		code = resultcode.From(cause).Code
+	}
+	return resultcode.Wrap(cause, code, "the request body ended early")
 }
 
 // conclude keeps a call from being reported as not run when an earlier attempt
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -18,7 +18,6 @@
 	warmCheckPeriod = time.Second
 	// maxUpstreamHeaderBytes bounds the memory of a response's headers.
 	maxUpstreamHeaderBytes = 256 << 10
-	readBufferBytes        = 16 << 10
 )
 
 // link holds the connections to one announced address. Connections in use,
@@ -63,8 +62,6 @@
 		MaxIdleConns:           l.limit,
 		MaxIdleConnsPerHost:    l.limit,
 		MaxResponseHeaderBytes: maxUpstreamHeaderBytes,
-		ReadBufferSize:         readBufferBytes,
-		WriteBufferSize:        readBufferBytes,
 	}
 	l.startWarming = sync.OnceFunc(func() { go l.keepWarm(ctx) })
 	return l
--- /dev/null
+++ b/internal/upstream/scripted_test.go
@@ -0,0 +1,96 @@
+package upstream_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/settings"
+	"github.com/mustardwing/mustardwing/internal/upstream"
+)
+
+type fixedSettings struct{}
+
+func (fixedSettings) Resolve(settings.Path) settings.Values { return settings.Defaults() }
+
+// exchange is one request on a scripted connection.
+type exchange struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// readRequest reads a request with its body and returns its attempt id.
+func (e exchange) readRequest() (string, error) {
+	r, err := http.ReadRequest(e.reader)
+	if err != nil {
+		return "", err
+	}
+	buffer := make([]byte, 1024)
+	for err == nil {
+		_, err = r.Body.Read(buffer)
+	}
+	return r.Header.Get(call.HeaderAttempt), nil
+}
+
+func (e exchange) write(text string) { _, _ = e.Write([]byte(text)) }
+
+// scriptedUpstream runs a script on each connection and then closes it.
+func scriptedUpstream(t *testing.T, script func(exchange)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(exchange{c, bufio.NewReader(c)})
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func announced(t *testing.T, address string, refuses bool) *upstream.Upstream {
+	u := upstream.New(upstream.Config{Settings: fixedSettings{}})
+	t.Cleanup(u.Close)
+	assert.NilError(t, u.Announce(upstream.Announcement{
+		Service: "search", Address: address, Slots: 2, MaxConnections: 3, RefusesBeforeWork: refuses,
+	}))
+	return u
+}
+
+func metadata(idempotent bool) call.Metadata {
+	m := call.Metadata{
+		RequestID: uuid.Must(uuid.NewV7()), Attempt: uuid.New(), Service: "search", Kind: "default",
+		Priority: call.Normal, Deadline: time.Now().Add(time.Minute), Idempotent: idempotent,
+	}
+	m.Lineage = m.RequestID
+	if !idempotent {
+		m.Key = m.Lineage
+	}
+	return m
+}
+
+func request(t *testing.T, method, body string) *http.Request {
+	r, err := http.NewRequest(method, "http://search.example/path", strings.NewReader(body))
+	assert.NilError(t, err)
+	if body == "" {
+		r.Body = http.NoBody
+	}
+	return r
+}
+
+// counter counts requests that an upstream has seen, whole or in part.
+type counter struct{ atomic.Int32 }
--- /dev/null
+++ b/internal/upstream/send_test.go
@@ -0,0 +1,181 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/upstream"
+)
+
+// Guards against a cut that is reported as not run although bytes were sent, or
+// as a complete response although its body is not.
+func TestCutAtEachStage(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n"
+	stages := []struct {
+		name   string
+		script func(exchange)
+		code   resultcode.Code
+	}{
+		{"during request", func(e exchange) { _, _ = e.reader.ReadByte() }, resultcode.ConnectionLost},
+		{"after request", func(e exchange) { _, _ = e.readRequest() }, resultcode.ConnectionLost},
+		{"during header", func(e exchange) { _, _ = e.readRequest(); e.write(head) }, resultcode.ConnectionLost},
+		{"close-delimited body", func(e exchange) { _, _ = e.readRequest(); e.write("HTTP/1.1 200 OK\r\n\r\n12345") }, resultcode.ConnectionLost},
+		{"during body", func(e exchange) { _, _ = e.readRequest(); e.write(head + "\r\n12345") }, resultcode.OK},
+		{"during chunks", func(e exchange) {
+			_, _ = e.readRequest()
+			e.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n")
+		}, resultcode.OK},
+	}
+	for _, stage := range stages {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(stage.name+" "+method, func(t *testing.T) {
+				u := announced(t, scriptedUpstream(t, stage.script), false)
+				response, run, err := u.Send(context.Background(), metadata(false), request(t, method, "body"))
+				if stage.code != resultcode.OK {
+					assert.Equal(t, resultcode.From(err).Code, stage.code)
+					assert.Equal(t, run, resultcode.Unknown)
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, run, resultcode.Run)
+				_, err = io.ReadAll(response.Body)
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			})
+		}
+	}
+}
+
+// Guards against a refused connection that is reported as unknown, which would
+// keep a non-idempotent call from being moved.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	u := announced(t, address, false)
+	_, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, "body"))
+	assert.Equal(t, resultcode.From(err).Code, resultcode.UpstreamUnreachable)
+	assert.Equal(t, run, resultcode.NotRun)
+	assert.Assert(t, !u.State().Reachable)
+}
+
+// Guards against net/http's Transport sending a request again when a kept-alive
+// connection breaks: it does so by itself for GET, and for any method with an
+// Idempotency-Key header.
+func TestTransportDoesNotRepeatRequest(t *testing.T) {
+	for _, header := range []string{"", "Idempotency-Key"} {
+		var seen counter
+		u := announced(t, scriptedUpstream(t, func(e exchange) {
+			_, _ = e.readRequest()
+			e.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			if _, err := e.readRequest(); err == nil {
+				seen.Add(1)
+			}
+		}), false)
+		first, _, err := u.Send(context.Background(), metadata(false), request(t, http.MethodGet, ""))
+		assert.NilError(t, err)
+		_, _ = io.ReadAll(first.Body)
+		r := request(t, http.MethodGet, "")
+		if header != "" {
+			r = request(t, http.MethodPost, "")
+			r.Header.Set(header, "1")
+		}
+		_, run, err := u.Send(context.Background(), metadata(false), r)
+		assert.Equal(t, resultcode.From(err).Code, resultcode.ConnectionLost)
+		assert.Equal(t, run, resultcode.Unknown)
+		assert.Equal(t, seen.Load(), int32(1))
+	}
+}
+
+// Guards against a refusal that is believed although the upstream did not
+// declare it or it belongs to another attempt, for instance one of a dependency.
+func TestRefusalCountsOnlyWhenDeclared(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		declared, echoed  bool
+		wantCode, wantRun string
+	}{
+		{"declared and echoed", true, true, "upstream_refused", "no"},
+		{"not declared", false, true, "ok", "unknown"},
+		{"another attempt", true, false, "ok", "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := announced(t, scriptedUpstream(t, func(e exchange) {
+				attempt, _ := e.readRequest()
+				if !c.echoed {
+					attempt = "0b8d4f3e-5d0a-4c56-9a35-6f0a7f5ac001"
+				}
+				e.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" + call.HeaderRefusedAttempt + ": " + attempt + "\r\n\r\n")
+			}), c.declared)
+			response, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, "body"))
+			code := resultcode.OK
+			if err != nil {
+				code = resultcode.From(err).Code
+			} else {
+				assert.Equal(t, len(response.Header[call.HeaderRefusedAttempt]), 0)
+			}
+			assert.Equal(t, code.String(), c.wantCode)
+			assert.Equal(t, run.String(), c.wantRun)
+		})
+	}
+}
+
+// Guards against a response that was meant for another request.
+func TestResponseOfAnotherRequestIsDropped(t *testing.T) {
+	u := announced(t, scriptedUpstream(t, func(e exchange) {
+		_, _ = e.readRequest()
+		e.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + call.HeaderRequestID + ": 0197a1b2-0000-7000-8000-000000000001\r\n\r\n")
+	}), false)
+	_, run, err := u.Send(context.Background(), metadata(true), request(t, http.MethodGet, ""))
+	assert.Equal(t, resultcode.From(err).Code, resultcode.AnswerMismatch)
+	assert.Equal(t, run, resultcode.Unknown)
+}
+
+// Guards against more connections than the upstream announced: spare, idle and
+// used ones together.
+func TestConnectionLimit(t *testing.T) {
+	var open, most counter
+	release := make(chan struct{})
+	address := scriptedUpstream(t, func(e exchange) {
+		most.Store(max(most.Load(), open.Add(1)))
+		defer open.Add(-1)
+		for {
+			if _, err := e.readRequest(); err != nil {
+				return
+			}
+			<-release
+			e.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	u := announced(t, address, false)
+	assert.NilError(t, u.Announce(upstream.Announcement{
+		Service: "search", Address: address, Slots: 2, MaxConnections: 3, Ready: true,
+	}))
+	const calls = 12
+	done := make(chan error, calls)
+	for range calls {
+		go func() {
+			response, _, err := u.Send(context.Background(), metadata(true), request(t, http.MethodGet, ""))
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			done <- err
+		}()
+	}
+	for open.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	for range calls {
+		assert.NilError(t, <-done)
+	}
+	assert.Equal(t, most.Load(), int32(3))
+}
