Admission, balancer, ledger: pure cores behind the concurrent wrappers

Cause: the skeleton refused above the slots, picked at random and had no hedges. Change: admission core with an ordered queue, eviction, deadline refusal, learned service times and long kinds, and a level that follows the shed part of the arrivals; balancer core with two choices, stragglers, ramp-up, levels and a hedge limit; ledger entries that check their balance. New in the interfaces: PickRequest.Hedge, Balancer.Ready, Balancer.SetAside, Slot.Waited, Controller.LowestWaiting, Ledger.Len, package invariant.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -4,43 +4,34 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
-// Config holds the settings of one service as seen by one node.
-type Config struct {
-	// Region of this node; other regions are used only when it has no instance.
-	Region         string
-	StragglerShare float64
-	RampUp         time.Duration
-	// RoundRobin ignores all measurements; it is the baseline.
-	RoundRobin bool
-}
-
 // Balancer chooses among the instances of one service. It is safe for concurrent use.
 type Balancer struct {
-	mu        sync.Mutex
-	random    *rand.Rand
-	instances []Instance
+	mu   sync.Mutex
+	core *core
 }
 
 // New returns a balancer that takes its randomness from random.
-func New(_ Config, random *rand.Rand) *Balancer {
-	return &Balancer{random: random}
+func New(config Config, random *rand.Rand) *Balancer {
+	return &Balancer{core: newCore(config, random)}
 }
 
 // Configure replaces the settings.
-func (b *Balancer) Configure(_ Config) {}
+func (b *Balancer) Configure(config Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.configure(config)
+}
 
-// SetInstances replaces the list of instances.
-func (b *Balancer) SetInstances(_ time.Time, all []Instance) {
+// SetInstances replaces the list of instances. An instance that keeps its ID and
+// incarnation keeps its measurements.
+func (b *Balancer) SetInstances(now time.Time, all []Instance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.instances = slices.Clone(all)
+	b.core.setInstances(now, all)
 }
 
 // Pick chooses an instance. It fails with NoInstance, or with Overloaded when
@@ -48,23 +39,36 @@
 func (b *Balancer) Pick(now time.Time, r PickRequest) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var ready []Instance
-	for _, i := range b.instances {
-		if !i.Draining && !slices.Contains(r.Exclude, i.ID) {
-			ready = append(ready, i)
-		}
-	}
-	if len(ready) == 0 {
-		return Choice{}, resultcode.New(resultcode.NoInstance, "no ready instance")
-	}
-	return Choice{Instance: ready[b.random.IntN(len(ready))], Kind: r.Kind, Started: now}, nil
+	return b.core.pick(now, r)
 }
 
 // Done reports the end of an attempt. Every Pick is followed by one Done.
-func (b *Balancer) Done(_ time.Time, _ Choice, _ Feedback) {}
+func (b *Balancer) Done(now time.Time, c Choice, f Feedback) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.done(now, c, f)
+}
 
 // HedgeDelay returns how long to wait before a hedge of this kind, and false
-// when too little is known or the hedge limit is reached.
-func (b *Balancer) HedgeDelay(_ time.Time, _ string) (time.Duration, bool) {
-	return 0, false
+// when too little is known, the hedge limit is reached or the service is shedding
+// calls. The hedge itself is a Pick with Hedge set.
+func (b *Balancer) HedgeDelay(now time.Time, kind string) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.hedgeDelay(now, kind)
+}
+
+// Ready returns the number of instances that are ready for calls and not in
+// exclude. It is what the retry decision needs as the number of untried instances.
+func (b *Balancer) Ready(exclude []string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.ready(exclude)
+}
+
+// SetAside returns the IDs of the instances now excluded as stragglers.
+func (b *Balancer) SetAside() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.setAsideIDs()
 }
--- /dev/null
+++ b/internal/balancer/config.go
@@ -0,0 +1,13 @@
+package balancer
+
+import "time"
+
+// Config holds the settings of one service as seen by one node.
+type Config struct {
+	// Region of this node; other regions are used only when it has no instance.
+	Region         string
+	StragglerShare float64
+	RampUp         time.Duration
+	// RoundRobin ignores all measurements; it is the baseline.
+	RoundRobin bool
+}
--- /dev/null
+++ b/internal/balancer/hedges.go
@@ -0,0 +1,53 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/admission"
+)
+
+const (
+	// hedgeShare limits hedges to this part of the calls, hedgeBurst those that
+	// may follow each other closely.
+	hedgeShare = 0.01
+	hedgeBurst = 5.0
+	// hedgeQuantile is the latency of its kind after which a call is hedged.
+	hedgeQuantile = 0.98
+	// hedgeMinSamples is the number of recent latencies needed for the quantile.
+	hedgeMinSamples = 50
+)
+
+// hedgeLimit is a token bucket filled by calls and emptied by hedges.
+type hedgeLimit struct {
+	tokens float64
+}
+
+func (l *hedgeLimit) call() {
+	l.tokens = min(hedgeBurst, l.tokens+hedgeShare)
+}
+
+func (l *hedgeLimit) take() bool {
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// hedgeDelay returns when a call of this kind may be hedged. While an instance
+// sheds calls, a hedge would only add to its load.
+func (c *core) hedgeDelay(now time.Time, kind string) (time.Duration, bool) {
+	if c.config.RoundRobin || c.hedges.tokens < 1 || len(c.scope) < 2 {
+		return 0, false
+	}
+	for _, s := range c.scope {
+		if s.knownLevel(now) != (admission.Level{}) {
+			return 0, false
+		}
+	}
+	k := c.kinds.get(now, kind)
+	if k.recent.total < hedgeMinSamples {
+		return 0, false
+	}
+	return k.recent.quantile(hedgeQuantile), true
+}
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -18,6 +18,13 @@
 	// LowestLevel asks for the instance with the lowest known level: set on a
 	// move after a refusal.
 	LowestLevel bool
+	// Hedge is set for the second attempt at a call whose first still runs. Pick
+	// counts it against the limit on hedges and fails when the limit is reached.
+	Hedge bool
+}
+
+func (r PickRequest) level() admission.Level {
+	return admission.Level{Priority: r.Priority, Rank: r.Rank}
 }
 
 // Choice is the instance picked for one attempt.
@@ -25,6 +32,11 @@
 	Instance Instance
 	Kind     string
 	Started  time.Time
+
+	state *instanceState
+	// expected is the kind's usual latency in seconds at the time of the pick.
+	expected float64
+	probe    bool
 }
 
 // Feedback reports how an attempt ended.
--- a/internal/retry/ledger.go
+++ b/internal/retry/ledger.go
@@ -8,29 +8,30 @@
 	"github.com/google/uuid"
 
 	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/invariant"
 )
 
 // Ledger holds the allowance left to each attempt that runs at the upstream
 // beside this node. It is safe for concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
-	accounts map[uuid.UUID]*account
-}
-
-type account struct {
-	left, spent call.Allowance
+	accounts map[uuid.UUID]*ledgerEntry
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{accounts: make(map[uuid.UUID]*account)}
+	return &Ledger{accounts: make(map[uuid.UUID]*ledgerEntry)}
 }
 
-// Open starts the account of an attempt.
+// Open starts the account of an attempt. Every Open is followed by one Close.
 func (l *Ledger) Open(attempt uuid.UUID, a call.Allowance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.accounts[attempt] = &account{left: a}
+	_, open := l.accounts[attempt]
+	if !invariant.Check(!open, "ledger attempt opened once", "attempt %s", attempt) {
+		return
+	}
+	l.accounts[attempt] = newLedgerEntry(a)
 }
 
 // Take moves half of what is left, rounded up, to a child call. It is zero for
@@ -38,28 +39,21 @@
 func (l *Ledger) Take(parent uuid.UUID) call.Allowance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a, ok := l.accounts[parent]
+	e, ok := l.accounts[parent]
 	if !ok {
 		return call.Allowance{}
 	}
-	share := a.left.Half()
-	a.left = a.left.Minus(share)
-	a.spent = a.spent.Plus(share)
-	return share
+	return e.take()
 }
 
 // Return gives back what a child call did not spend. A child that reports more
-// than it took counts as having spent what it took.
+// than it took counts as having spent what it took. After Close it has no effect.
 func (l *Ledger) Return(parent uuid.UUID, taken, spent call.Allowance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a, ok := l.accounts[parent]
-	if !ok {
-		return
+	if e, ok := l.accounts[parent]; ok {
+		e.giveBack(taken, spent)
 	}
-	unspent := taken.Minus(spent)
-	a.left = a.left.Plus(unspent)
-	a.spent = a.spent.Minus(unspent)
 }
 
 // Close ends the account and returns what was spent, with shares still out
@@ -67,10 +61,17 @@
 func (l *Ledger) Close(attempt uuid.UUID) (spent call.Allowance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a, ok := l.accounts[attempt]
+	e, ok := l.accounts[attempt]
 	if !ok {
 		return call.Allowance{}
 	}
 	delete(l.accounts, attempt)
-	return a.spent
+	return e.spent.Plus(e.out)
+}
+
+// Len returns the number of open accounts, one for each running attempt.
+func (l *Ledger) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.accounts)
 }
