Policy invariants: randomised runs with fixed seeds

Cause: order, bounds and recovery of the policy were not proved. Change: rapid runs against the cores with TestMain fixing the seed; breaches panic in tests. The runs found a level that fell too slowly under light load: a window with a free slot now lowers it without waiting for 20 calls.

--- a/internal/admission/level_tracker.go
+++ b/internal/admission/level_tracker.go
@@ -77,7 +77,12 @@
 // advance ends the window when it is over.
 func (t *levelTracker) advance(now time.Time) {
 	age := now.Sub(t.start)
-	if age < levelWindow || (t.arrived < levelMinArrivals && age < levelMaxWindow) {
+	if age < levelWindow {
+		return
+	}
+	// A window in which a slot was always free needs no more calls to show that
+	// the level is too high.
+	if t.saturated && t.arrived < levelMinArrivals && age < levelMaxWindow {
 		return
 	}
 	t.adjust()
--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,307 @@
+package balancer
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mustardwing/mustardwing/internal/admission"
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/invariant"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// The seed is fixed unless the command line gives another one.
+func TestMain(m *testing.M) {
+	invariant.PanicOnBreach()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+var (
+	start  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	config = Config{Region: "ro", StragglerShare: 0.34, RampUp: 10 * time.Second}
+)
+
+func newTestCore(seed uint64, n int) *core {
+	c := newCore(config, rand.New(rand.NewPCG(seed, 0)))
+	c.setInstances(start, instances(n))
+	return c
+}
+
+func instances(n int) []Instance {
+	var all []Instance
+	for i := range n {
+		all = append(all, Instance{ID: fmt.Sprint("search-", i), Region: "ro", Slots: 35, Ready: start.Add(-time.Hour)})
+	}
+	return all
+}
+
+func answer(latency time.Duration) Feedback {
+	return Feedback{Latency: latency, Execution: resultcode.Run, Load: &admission.Load{Slots: 35}}
+}
+
+// pending is a call that ends at the given time.
+type pending struct {
+	end      time.Time
+	choice   Choice
+	feedback Feedback
+}
+
+// traffic makes one call per millisecond, which ends after the latency that
+// respond gives for its instance, and returns the calls per instance.
+func traffic(c *core, now *time.Time, calls int, respond func(id string) Feedback) map[string]int {
+	counts := make(map[string]int)
+	var open []pending
+	for range calls {
+		*now = now.Add(time.Millisecond)
+		open = finish(c, *now, open)
+		choice, err := c.pick(*now, PickRequest{Kind: "list", Priority: call.Normal})
+		if err != nil {
+			continue
+		}
+		counts[choice.Instance.ID]++
+		f := respond(choice.Instance.ID)
+		open = append(open, pending{end: now.Add(f.Latency), choice: choice, feedback: f})
+	}
+	finish(c, now.Add(time.Minute), open)
+	return counts
+}
+
+func finish(c *core, now time.Time, open []pending) []pending {
+	kept := open[:0]
+	for _, p := range open {
+		if p.end.After(now) {
+			kept = append(kept, p)
+			continue
+		}
+		c.done(p.end, p.choice, p.feedback)
+	}
+	return kept
+}
+
+// Guards against a straggler that keeps getting calls, and against one that never
+// returns after it recovered.
+func TestStragglerIsSetAsideAndReturns(t *testing.T) {
+	c := newTestCore(1, 4)
+	now := start
+	slow := func(id string) Feedback {
+		if id == "search-2" {
+			return answer(200 * time.Millisecond)
+		}
+		return answer(20 * time.Millisecond)
+	}
+	traffic(c, &now, 1000, slow)
+	assert.DeepEqual(t, c.setAsideIDs(), []string{"search-2"})
+	counts := traffic(c, &now, 10000, slow)
+	assert.Assert(t, counts["search-2"] >= 10 && counts["search-2"] < 100, "%v", counts)
+	fast := func(string) Feedback { return answer(20 * time.Millisecond) }
+	traffic(c, &now, 5000, fast)
+	assert.Equal(t, len(c.setAsideIDs()), 0)
+	counts = traffic(c, &now, 4000, fast)
+	assert.Assert(t, counts["search-2"] > 700, "%v", counts)
+}
+
+// Guards against an instance that draws calls because its errors are quick.
+func TestErrorsDoNotLookFast(t *testing.T) {
+	c := newTestCore(1, 4)
+	now := start
+	counts := traffic(c, &now, 4000, func(id string) Feedback {
+		if id == "search-1" {
+			return Feedback{Latency: time.Microsecond, Failed: true}
+		}
+		return answer(20 * time.Millisecond)
+	})
+	assert.Assert(t, counts["search-1"] < 100, "%v", counts)
+}
+
+// Guards against a hanging instance, which reports nothing: its calls only get old.
+func TestHangingInstanceIsSetAside(t *testing.T) {
+	c := newTestCore(1, 4)
+	now := start
+	traffic(c, &now, 500, func(string) Feedback { return answer(20 * time.Millisecond) })
+	hung := 0
+	for range 500 {
+		now = now.Add(time.Millisecond)
+		choice, err := c.pick(now, PickRequest{Kind: "list"})
+		assert.NilError(t, err)
+		if choice.Instance.ID == "search-3" {
+			hung++
+			continue
+		}
+		c.done(now, choice, answer(20*time.Millisecond))
+	}
+	assert.Assert(t, hung < 30, "%d calls went to the hanging instance", hung)
+}
+
+// Guards against a mix of kinds that makes an instance look like a straggler.
+func TestKindsAreComparedByRatio(t *testing.T) {
+	c := newTestCore(1, 3)
+	now := start
+	for i := range 3000 {
+		now = now.Add(time.Millisecond)
+		// Every third call is a long one, and all of those go to search-0.
+		r, latency := PickRequest{Kind: "list"}, 10*time.Millisecond
+		if i%3 == 0 {
+			r, latency = PickRequest{Kind: "report", Exclude: []string{"search-1", "search-2"}}, time.Second
+		}
+		choice, err := c.pick(now, r)
+		assert.NilError(t, err)
+		c.done(now, choice, answer(latency))
+	}
+	assert.Equal(t, len(c.setAsideIDs()), 0)
+}
+
+// Guards against a cold instance that gets a full share at once, and against one
+// that gets nothing.
+func TestRampUp(t *testing.T) {
+	c := newTestCore(1, 4)
+	now := start
+	all := instances(4)
+	all[3].Ready = now
+	c.setInstances(now, all)
+	fast := func(string) Feedback { return answer(20 * time.Millisecond) }
+	early := traffic(c, &now, 1000, fast)["search-3"]
+	assert.Assert(t, early > 5 && early < 60, "%d of 1000 calls in the first second", early)
+	now = start.Add(11 * time.Second)
+	late := traffic(c, &now, 1000, fast)["search-3"]
+	assert.Assert(t, late > 180, "%d of 1000 calls after the ramp", late)
+}
+
+// Guards against hedges beyond 1 % of the calls, and against hedges while calls
+// are shed.
+func TestHedgesAreLimited(t *testing.T) {
+	c := newTestCore(1, 4)
+	now := start
+	hedges := 0
+	traffic(c, &now, 10000, func(string) Feedback {
+		if _, ok := c.hedgeDelay(now, "list"); ok {
+			choice, err := c.pick(now, PickRequest{Kind: "list", Hedge: true})
+			assert.NilError(t, err)
+			c.done(now, choice, Feedback{Code: resultcode.CallerGone})
+			hedges++
+		}
+		return answer(20 * time.Millisecond)
+	})
+	assert.Assert(t, hedges > 50 && hedges <= 100, "%d hedges for 10000 calls", hedges)
+	c.hedges.tokens = 2
+	c.scope[0].reported(now, admission.Load{Level: admission.Level{Priority: call.Normal}})
+	_, ok := c.hedgeDelay(now, "list")
+	assert.Assert(t, !ok)
+}
+
+// Guards against memory that grows with made-up kinds or past instances.
+func TestMemoryIsBounded(t *testing.T) {
+	c := newTestCore(1, 4)
+	now := start
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		choice, err := c.pick(now, PickRequest{Kind: fmt.Sprint("kind-", i)})
+		assert.NilError(t, err)
+		c.done(now, choice, answer(time.Millisecond))
+		all := instances(4)
+		all[0].Incarnation = uint64(i)
+		c.setInstances(now, all)
+	}
+	assert.Assert(t, len(c.kinds.kinds) <= maxKinds)
+	assert.Equal(t, len(c.all), 4)
+}
+
+// Guards against a second Done, which would hide outstanding calls.
+func TestSecondDoneIsABreach(t *testing.T) {
+	c := newTestCore(1, 1)
+	choice, err := c.pick(start, PickRequest{})
+	assert.NilError(t, err)
+	c.done(start, choice, answer(time.Millisecond))
+	invariant.OnBreach(nil)
+	defer invariant.PanicOnBreach()
+	before := invariant.Count()
+	c.done(start, choice, answer(time.Millisecond))
+	assert.Equal(t, invariant.Count(), before+1)
+}
+
+// randomFeedback is what a surge brings: slow answers, errors, refusals, levels.
+func randomFeedback(random *rand.Rand) Feedback {
+	codes := []resultcode.Code{
+		resultcode.OK, resultcode.OK, resultcode.Overloaded, resultcode.ConnectionLost,
+		resultcode.DeadlineExceeded, resultcode.UpstreamUnreachable, resultcode.CallerGone, resultcode.Draining,
+	}
+	code := codes[random.IntN(len(codes))]
+	f := Feedback{
+		Latency:   time.Duration(random.Int64N(int64(3 * time.Second))),
+		Code:      code,
+		Execution: resultcode.Lookup(code).Execution,
+		Failed:    random.IntN(4) == 0,
+	}
+	if random.IntN(2) == 0 {
+		level := admission.Level{Priority: call.Priority(random.IntN(4)), Rank: random.Uint32()}
+		f.Load = &admission.Load{Running: random.IntN(40), Queued: random.IntN(40), Slots: 35, Level: level}
+	}
+	return f
+}
+
+// Guards against a state that stays bad after a surge, against more stragglers
+// than allowed, and against a refusal while an instance would admit the call.
+func TestNothingStaysBadAfterASurge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "instances")
+		seed := rapid.Uint64().Draw(t, "seed")
+		c := newTestCore(seed, n)
+		random := rand.New(rand.NewPCG(seed, 1))
+		now := start
+		for range 2000 {
+			now = now.Add(time.Millisecond)
+			r := PickRequest{Kind: "list", Priority: call.Priority(random.IntN(4)), Rank: random.Uint32(), LowestLevel: random.IntN(8) == 0}
+			choice, err := c.pick(now, r)
+			if err != nil {
+				assertAllShed(t, c, now, r)
+				continue
+			}
+			c.done(now, choice, randomFeedback(random))
+			assert.Assert(t, len(c.setAsideIDs()) <= int(config.StragglerShare*float64(n)))
+		}
+		// No response comes from now on: levels expire by themselves.
+		now = now.Add(levelExpiry)
+		for range 100 {
+			choice, err := c.pick(now, PickRequest{Kind: "list", Priority: call.Background})
+			assert.NilError(t, err)
+			c.done(now, choice, Feedback{Code: resultcode.CallerGone})
+		}
+		fast := func(string) Feedback { return answer(20 * time.Millisecond) }
+		traffic(c, &now, 10000, fast)
+		assert.Equal(t, len(c.setAsideIDs()), 0)
+		for id, count := range traffic(c, &now, 2000, fast) {
+			assert.Assert(t, count > 2000/n/2, "%s got %d of 2000", id, count)
+		}
+	})
+}
+
+func assertAllShed(t *rapid.T, c *core, now time.Time, r PickRequest) {
+	for _, s := range c.scope {
+		assert.Assert(t, r.level().Below(s.knownLevel(now)), "%+v was refused while %s has level %+v", r, s.ID, s.knownLevel(now))
+	}
+}
+
+// BenchmarkPick is one Pick and one Done with six instances.
+func BenchmarkPick(b *testing.B) {
+	balancer := New(config, rand.New(rand.NewPCG(1, 0)))
+	balancer.SetInstances(start, instances(6))
+	load := &admission.Load{Running: 10, Slots: 35}
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		choice, err := balancer.Pick(now, PickRequest{Kind: "list", Priority: call.Normal})
+		if err != nil {
+			b.Fatal(err)
+		}
+		balancer.Done(now, choice, Feedback{Latency: 20 * time.Millisecond, Execution: resultcode.Run, Load: load})
+	}
+}
--- a/internal/balancer/stragglers.go
+++ b/internal/balancer/stragglers.go
@@ -19,7 +19,7 @@
 	recoveredFactor = 2.0
 	recoveredProbes = 3
 	// minSamples is the number of latencies needed before they can exclude.
-	minSamples = 5
+	minSamples = 2
 	// A straggler is probed after probePicks calls to the service, so that probes
 	// stay far below the 1 % that would show in the p99, but at least once per
 	// probeMaxInterval. A fast probe is followed up after probeFollowPicks.
@@ -78,7 +78,7 @@
 func (c *core) slowest(now time.Time) *instanceState {
 	var worst *instanceState
 	for _, s := range c.scope {
-		if s.setAside || (s.samples < minSamples && s.aged < minSamples) {
+		if s.setAside || (s.samples < minSamples && s.aged < minRunning) {
 			continue
 		}
 		if worst == nil || s.slowness(now) > worst.slowness(now) {
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,222 @@
+package retry
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/invariant"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// The seed is fixed unless the command line gives another one.
+func TestMain(m *testing.M) {
+	invariant.PanicOnBreach()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
+
+// Guards against a second execution of a non-idempotent call and against
+// attempts beyond the allowance or after a response has started.
+func TestDecideNeverRepeatsWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		code := rapid.SampledFrom([]resultcode.Code{resultcode.OK, resultcode.ConnectionLost, resultcode.Overloaded}).Draw(t, "common code")
+		if rapid.Bool().Draw(t, "any code") {
+			code = rapid.SampledFrom(resultcode.Entries()).Draw(t, "code").Code
+		}
+		o := Outcome{
+			Code:            code,
+			Execution:       rapid.SampledFrom([]resultcode.Execution{resultcode.Unknown, resultcode.NotRun, resultcode.Run}).Draw(t, "execution"),
+			Local:           rapid.Bool().Draw(t, "local"),
+			Idempotent:      rapid.Bool().Draw(t, "idempotent"),
+			Replayable:      rapid.Bool().Draw(t, "replayable"),
+			ResponseStarted: rapid.Bool().Draw(t, "started"),
+			Untried:         rapid.IntRange(0, 3).Draw(t, "untried"),
+			Attempts:        rapid.IntRange(1, 40).Draw(t, "attempts"),
+			Remaining:       time.Duration(rapid.IntRange(-10, 10000).Draw(t, "remaining")) * time.Millisecond,
+			Left:            drawAllowance(t),
+		}
+		d := Decide(o, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)))
+		if d.Action == Stop {
+			return
+		}
+		assert.Assert(t, o.Execution == resultcode.NotRun || o.Idempotent, "%+v: %+v", o, d)
+		assert.Assert(t, !o.ResponseStarted && o.Replayable, "%+v: %+v", o, d)
+		assert.Assert(t, d.Action != Move || (o.Execution == resultcode.NotRun && o.Untried > 0), "%+v: %+v", o, d)
+		assert.Assert(t, NewAccount(o.Left).Charge(d.Action.Cost()), "%+v: %+v", o, d)
+		assert.Assert(t, d.Backoff < o.Remaining && d.Backoff <= backoffMax, "%+v: %+v", o, d)
+	})
+}
+
+func drawAllowance(t *rapid.T) call.Allowance {
+	return call.Allowance{
+		Retries: rapid.Uint16Range(0, 10).Draw(t, "retries"),
+		Moves:   rapid.Uint16Range(0, 32).Draw(t, "moves"),
+	}
+}
+
+// tree is the calls below one call; every attempt at a call makes them all.
+type tree struct {
+	children []tree
+}
+
+// drawTree returns a spine of the given depth with fan-out at random hops. The
+// budget bounds the nodes beside the spine.
+func drawTree(random *rand.Rand, depth int, budget *int) tree {
+	var node tree
+	if depth == 0 {
+		return node
+	}
+	node.children = append(node.children, drawTree(random, depth-1, budget))
+	for *budget > 0 && random.IntN(3) == 0 {
+		*budget--
+		node.children = append(node.children, drawTree(random, random.IntN(min(depth, 4)), budget))
+	}
+	return node
+}
+
+// hop runs calls through ledger, account and decision as the nodes do.
+type hop struct {
+	random *rand.Rand
+	ledger *Ledger
+	// extra counts moves and retries, attempts all executions.
+	extra    call.Allowance
+	attempts int
+	// leaves counts executions of calls without children, and refusals is the
+	// part of the attempts that is not run.
+	leaves   int
+	refusals float64
+}
+
+// run makes one call that fails at every attempt, and returns what was spent.
+func (h *hop) run(node tree, total call.Allowance) call.Allowance {
+	account := NewAccount(total)
+	for attempt := 1; ; attempt++ {
+		sent := account.Send()
+		o := h.attempt(node, sent, account)
+		o.Attempts = attempt
+		o.Left = account.Left()
+		d := Decide(o, h.random)
+		if d.Action == Stop || !account.Charge(d.Action.Cost()) {
+			return account.Spent()
+		}
+		h.extra = h.extra.Plus(d.Action.Cost())
+	}
+}
+
+func (h *hop) attempt(node tree, sent call.Allowance, account *Account) Outcome {
+	o := Outcome{Idempotent: true, Replayable: true, Untried: 5, Remaining: time.Hour}
+	if h.random.Float64() < h.refusals {
+		account.Settle(sent, call.Allowance{})
+		o.Code, o.Execution = resultcode.Overloaded, resultcode.NotRun
+		return o
+	}
+	h.attempts++
+	if len(node.children) == 0 {
+		h.leaves++
+	}
+	id := uuid.New()
+	h.ledger.Open(id, sent)
+	for _, child := range node.children {
+		share := h.ledger.Take(id)
+		h.ledger.Return(id, share, h.run(child, share))
+	}
+	spent := h.ledger.Close(id)
+	if h.random.IntN(4) > 0 {
+		account.Settle(sent, spent)
+	}
+	return o
+}
+
+// Guards against retries that multiply from hop to hop: every hop fails, and the
+// whole tree together stays within what the root was given.
+func TestAllowanceBoundsTheTree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		budget := 20
+		root := drawTree(random, rapid.IntRange(0, 26).Draw(t, "depth"), &budget)
+		total := drawAllowance(t)
+		h := &hop{random: random, ledger: NewLedger(), refusals: 0.5}
+		spent := h.run(root, total)
+		assert.Assert(t, h.extra.Retries <= total.Retries && h.extra.Moves <= total.Moves,
+			"%+v extra attempts, want at most %+v", h.extra, total)
+		assert.Assert(t, spent.Retries <= total.Retries && spent.Retries >= h.extra.Retries)
+		assert.Equal(t, h.ledger.Len(), 0)
+	})
+}
+
+// naiveAttempts is the number of executions at the deepest service of a chain
+// when every hop makes three retries of its own.
+func naiveAttempts(depth int) int {
+	if depth == 0 {
+		return 1
+	}
+	sum := 0
+	for range 4 {
+		sum += naiveAttempts(depth - 1)
+	}
+	return sum
+}
+
+// Shows what the allowance prevents: a chain of 8 hops that fails at the end.
+func TestAllowanceAgainstRetriesPerHop(t *testing.T) {
+	const depth = 8
+	node := tree{}
+	for range depth {
+		node = tree{children: []tree{node}}
+	}
+	h := &hop{random: rand.New(rand.NewPCG(1, 1)), ledger: NewLedger()}
+	h.run(node, call.Allowance{Retries: 3, Moves: 6})
+	t.Logf("chain of %d: at the last hop %d executions with the allowance, %d with three retries per hop",
+		depth, h.leaves, naiveAttempts(depth))
+	assert.Assert(t, h.leaves <= 1+3)
+	assert.Equal(t, naiveAttempts(depth), 65536)
+}
+
+// Guards against a share that is returned twice and so grows the allowance.
+func TestLedgerRejectsASecondReturn(t *testing.T) {
+	l := NewLedger()
+	id := uuid.New()
+	l.Open(id, call.Allowance{Retries: 3, Moves: 6})
+	share := l.Take(id)
+	l.Return(id, share, call.Allowance{})
+	invariant.OnBreach(nil)
+	defer invariant.PanicOnBreach()
+	before := invariant.Count()
+	l.Return(id, share, call.Allowance{})
+	assert.Equal(t, invariant.Count(), before+1)
+	assert.Equal(t, l.Close(id), call.Allowance{})
+}
+
+// Guards against hedges of calls that must not run twice or that nothing pays for.
+func TestMayHedge(t *testing.T) {
+	good := HedgeRequest{
+		Enabled: true, Idempotent: true, Replayable: true, Attempts: 1, Untried: 1,
+		Delay: time.Millisecond, Remaining: time.Second, Left: call.Allowance{Retries: 1},
+	}
+	assert.Assert(t, MayHedge(good))
+	changes := []func(*HedgeRequest){
+		func(r *HedgeRequest) { r.Enabled = false },
+		func(r *HedgeRequest) { r.Idempotent = false },
+		func(r *HedgeRequest) { r.Replayable = false },
+		func(r *HedgeRequest) { r.Attempts = 2 },
+		func(r *HedgeRequest) { r.Untried = 0 },
+		func(r *HedgeRequest) { r.Remaining = time.Microsecond },
+		func(r *HedgeRequest) { r.Left.Retries = 0 },
+	}
+	for i, change := range changes {
+		r := good
+		change(&r)
+		assert.Assert(t, !MayHedge(r), "case %d", i)
+	}
+}
