--- a/internal/nodeconfig/config.go
+++ b/internal/nodeconfig/config.go
@@ -51,7 +51,10 @@
 type Config struct {
 	NodeID, Region, FailureDomain string
 	Listen                        Listen
-	Platform                      Platform
+	// AdvertisePeer is the peer address that other nodes are told, for a node
+	// behind a proxy; empty means that of the peer listener.
+	AdvertisePeer string
+	Platform      Platform
 	// Seeds are gossip addresses of other nodes, used while the platform does
 	// not answer.
 	Seeds  []string
--- a/internal/nodeconfig/config_test.go
+++ b/internal/nodeconfig/config_test.go
@@ -67,6 +67,7 @@
 		{`127.0.0.1:8083`, `0.0.0.0:8083`, "listen.gossip: \"0.0.0.0:8083\": want an address that other nodes can reach"},
 		{`127.0.0.1:8081`, `10.0.0.1:8081`, "listen.loopback: \"10.0.0.1:8081\": want a loopback address"},
 		{`127.0.0.1:8084`, `127.0.0.1:8080`, "an address other than that of listen.caller"},
+		{`"platform"`, `"advertise": {"peer": "proxy:1"}, "platform"`, `advertise.peer: "proxy:1": want an IP address`},
 		{`127.0.0.1:8183`, `127.0.0.1`, `seeds[0]: "127.0.0.1": want`},
 		{`["127.0.0.1:8183"]`, `"127.0.0.1:8183"`, "seeds: \"127.0.0.1:8183\": want a list"},
 		{`"full"`, `"half"`, `policy: "half": want full or none`},
--- a/internal/nodeconfig/read.go
+++ b/internal/nodeconfig/read.go
@@ -15,7 +15,7 @@
 )
 
 func (c *Config) read(document strictjson.Node) {
-	object, ok := document.Object("node_id", "region", "failure_domain", "listen", "platform",
+	object, ok := document.Object("node_id", "region", "failure_domain", "listen", "advertise", "platform",
 		"seeds", "policy", "shutdown_limit", "log_level", "trace")
 	if !ok {
 		return
@@ -26,6 +26,9 @@
 	if node, ok := object.Require("listen", "an object with caller, loopback, peer, gossip and admin"); ok {
 		c.Listen.read(node)
 	}
+	if node, ok := object.Get("advertise"); ok {
+		c.readAdvertise(node)
+	}
 	if node, ok := object.Get("platform"); ok {
 		c.Platform.read(node)
 	}
@@ -38,7 +41,7 @@
 	if text, ok := optionalText(object, "policy"); ok {
 		c.Policy = Policy(text)
 	}
-	if text, ok := optionalText(object, "log_level"); ok {
+	if text, ok := optionalText(object, "log_level"); ok && text != "" {
 		c.LogLevel = text
 	}
 	if node, ok := object.Get("trace"); ok {
@@ -46,6 +49,12 @@
 	}
 }
 
+func (c *Config) readAdvertise(node strictjson.Node) {
+	if object, ok := node.Object("peer"); ok {
+		c.AdvertisePeer = requireText(object, "peer")
+	}
+}
+
 func (c *Config) readTrace(node strictjson.Node) {
 	if object, ok := node.Object("otlp_endpoint"); ok {
 		c.OTLPEndpoint, _ = optionalText(object, "otlp_endpoint")
--- a/internal/nodeconfig/validate.go
+++ b/internal/nodeconfig/validate.go
@@ -48,6 +48,9 @@
 	checkName(problems, "region", c.Region)
 	checkName(problems, "failure_domain", c.FailureDomain)
 	c.Listen.validate(problems)
+	if c.AdvertisePeer != "" {
+		checkRemote(problems, "advertise.peer", c.AdvertisePeer)
+	}
 	checkURL(problems, "platform.url", c.Platform.URL)
 	checkURL(problems, "trace.otlp_endpoint", c.OTLPEndpoint)
 	c.validateSeeds(problems)
@@ -89,10 +92,14 @@
 		problems.AddOnce("seeds", fmt.Sprintf("%d addresses", len(c.Seeds)), fmt.Sprintf("at most %d", maxSeeds))
 	}
 	for i, seed := range c.Seeds {
-		address, err := netip.ParseAddrPort(seed)
-		if err != nil || address.Port() == 0 {
-			problems.AddOnce(fmt.Sprintf("seeds[%d]", i), quote(seed), wantAddress)
-		}
+		checkRemote(problems, fmt.Sprintf("seeds[%d]", i), seed)
+	}
+}
+
+func checkRemote(problems *strictjson.Problems, path, text string) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		problems.AddOnce(path, quote(text), wantAddress)
 	}
 }
 
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 	"github.com/mustardwing/mustardwing/internal/strictjson"
 )
@@ -124,7 +125,7 @@
 		return kind
 	}
 	kind.Overrides = readOverrides(overrides, LevelKind)
-	if _, given := kind.Overrides["match"]; given && kind.Name == DefaultKind {
+	if _, given := kind.Overrides["match"]; given && kind.Name == call.DefaultKind {
 		overrides.Refuse("no match list, since kind default takes the calls that match no other kind")
 	}
 	return kind
--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/mustardwing/mustardwing/internal/resultcode"
@@ -47,6 +48,29 @@
 	return err
 }
 
+// CheckAll checks each change and reports all problems in one error.
+func CheckAll(changes []Change) error {
+	var details []string
+	seen := make(map[string]bool)
+	for _, c := range changes {
+		place := c.Scope.String() + " " + c.Field
+		if seen[place] {
+			details = append(details, fmt.Sprintf("%s: field %s given twice: want each field once", c.Scope, c.Field))
+		}
+		seen[place] = true
+		if err := c.Check(); err != nil {
+			details = append(details, resultcode.From(err).Detail)
+		}
+	}
+	if len(details) == 0 {
+		return nil
+	}
+	if len(details) == 1 {
+		return resultcode.New(resultcode.SettingsInvalid, "%s", details[0])
+	}
+	return resultcode.New(resultcode.SettingsInvalid, "%d problems\n  %s", len(details), strings.Join(details, "\n  "))
+}
+
 func (c Change) checkUnset() error {
 	if _, ok := LookupField(c.Field); !ok {
 		return resultcode.New(resultcode.SettingsInvalid, "%s: unknown field %q: want one of %s", c.Scope, c.Field, fieldNames())
--- a/internal/settings/scope.go
+++ b/internal/settings/scope.go
@@ -10,7 +10,7 @@
 type Scope struct {
 	// WriteIDs identifies the latest writes, newest first, so that a writer that
 	// lost the response recognises its own effect even below a later write.
-	WriteIDs  []string  `json:"write_ids"`
+	WriteIDs  []string  `json:"write_ids,omitempty"`
 	Overrides Overrides `json:"overrides"`
 	// Kinds is in the order in which match rules are tried. Only a service has
 	// kinds.
--- a/internal/settings/scope_name.go
+++ b/internal/settings/scope_name.go
@@ -11,9 +11,6 @@
 // KeyPrefix is where the settings tree lives in the platform's store.
 const KeyPrefix = "settings/"
 
-// DefaultKind is the kind of a call that no match rule names.
-const DefaultKind = "default"
-
 const (
 	maxNameBytes = 63
 	wantName     = "1 to 63 characters of a-z, 0-9 and -, starting with a letter"
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -53,15 +53,15 @@
 }
 
 // MatchKind returns the first kind of the service that has a rule for the method
-// and the path without query, and DefaultKind when there is none. It does not
-// allocate.
+// and the path without query, and the empty string when there is none. It does
+// not allocate.
 func (t *Tree) MatchKind(service, method, path string) string {
 	if t == nil {
-		return DefaultKind
+		return ""
 	}
 	s, ok := t.services[service]
 	if !ok {
-		return DefaultKind
+		return ""
 	}
 	for i := range s.rules {
 		for _, rule := range s.rules[i].rules {
@@ -70,7 +70,7 @@
 			}
 		}
 	}
-	return DefaultKind
+	return ""
 }
 
 // with returns a tree in which the scopes are replaced. A nil scope removes the
