Data path: failure tests for chains, bodies, child calls and drain

Cause: the promises of the data path had no tests through whole nodes. The tests found two faults: a refusal of an HTTP/1.1 request waited for its body, and full duplex made net/http panic when it reused a connection whose body had not ended.

Change: responses may begin before an HTTP/1.1 request body has ended; the connection is then closed, unless the rest of a short body has arrived. A call without remaining time is refused at once.

--- a/internal/call/field.go
+++ b/internal/call/field.go
@@ -64,11 +64,6 @@
 	if text == "" || len(text) > maxDigits {
 		return 0, false
 	}
-	for i := range len(text) {
-		if text[i] < '0' || text[i] > '9' {
-			return 0, false
-		}
-	}
 	n, err := strconv.ParseUint(text, 10, 64)
 	return n, err == nil
 }
--- /dev/null
+++ b/internal/ingress/child_test.go
@@ -0,0 +1,180 @@
+package ingress_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
+	"github.com/mustardwing/mustardwing/internal/upstream"
+)
+
+func fewSlots(a *upstream.Announcement) { a.Slots, a.MaxConnections = 4, 8 }
+
+// failingChain builds services of which each calls the next one and a service
+// that always fails, and answers 503 when a call below it fails. It returns the
+// number of retries and of executions for one call to the first service.
+func failingChain(t *testing.T, depth int, baseline bool) (retries, executions int64) {
+	f := newFleet(t, func(f *fleet) { f.baseline = baseline; f.values.Timeout = time.Minute })
+	caller := newCaller(t)
+	var runs atomic.Int64
+	fail := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	f.add("leaf", fail, fewSlots)
+	for i := range depth {
+		var n *node
+		n = f.add("s"+strconv.Itoa(i), startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			for _, service := range []string{"s" + strconv.Itoa(i+1), "leaf"} {
+				response, err := caller.Do(childRequest(t, r, http.MethodGet, n.loopback, service, ""))
+				if !assert.Check(t, err) {
+					return
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}), fewSlots)
+	}
+	f.add("s"+strconv.Itoa(depth), fail, fewSlots)
+	response, err := caller.Do(newRequest(t, http.MethodGet, f.nodes[0].caller, "s0", ""))
+	assert.NilError(t, err)
+	assertCode(t, response, resultcode.OK, resultcode.Unknown)
+	return f.count("router_retries"), runs.Load()
+}
+
+// Guards against retries that multiply at each hop: in a chain of 26 services
+// with fan-out, where every call fails, they stay within the root's allowance.
+func TestRetriesStayWithinRootAllowance(t *testing.T) {
+	retries, executions := failingChain(t, 25, false)
+	t.Logf("chain of 26 with allowance: %d retries, %d executions", retries, executions)
+	assert.Assert(t, retries > 0 && retries <= int64(settings.Defaults().Retries))
+	short, _ := failingChain(t, 3, false)
+	without, executions := failingChain(t, 3, true)
+	t.Logf("chain of 4: %d retries with allowance, %d without (%d executions)", short, without, executions)
+	assert.Assert(t, without > 10*short)
+}
+
+// Guards against a child call that raises its priority, and against a call
+// without a known parent that claims one.
+func TestChildCannotRaisePriority(t *testing.T) {
+	f := newFleet(t, func(f *fleet) { f.values.Priority = call.High })
+	seen := make(chan string, 1)
+	f.add("ledger", startUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Get(call.HeaderPriority)
+	}), nil)
+	var n *node
+	keepAttempt := true
+	n = f.add("search", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		child := childRequest(t, r, http.MethodGet, n.loopback, "ledger", "")
+		if !keepAttempt {
+			child.Header.Del(call.HeaderAttempt)
+		}
+		child.Header.Set(call.HeaderPriority, "critical")
+		response, err := http.DefaultClient.Do(child)
+		assert.Check(t, err)
+		assert.Check(t, response.Header.Get(call.HeaderRequestID) != "")
+	}), nil)
+	send := func(priority string) string {
+		r := newRequest(t, http.MethodGet, n.caller, "search", "")
+		r.Header.Set(call.HeaderPriority, priority)
+		_, err := newCaller(t).Do(r)
+		assert.NilError(t, err)
+		return <-seen
+	}
+	assert.Equal(t, send("background"), "background")
+	assert.Equal(t, send("critical"), "high")
+	keepAttempt = false
+	assert.Equal(t, send("critical"), "normal")
+}
+
+// Guards against a non-idempotent child call that runs twice because its parent
+// was retried, and against two different child calls that share one key.
+func TestDerivedKeys(t *testing.T) {
+	f := newFleet(t, nil)
+	var executions, attempts atomic.Int32
+	f.add("ledger", startUpstream(t, func(http.ResponseWriter, *http.Request) { executions.Add(1) }), nil)
+	caller := newCaller(t)
+	var search, front *node
+	search = f.add("search", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		_, err := caller.Do(childRequest(t, r, http.MethodPost, search.loopback, "ledger", "entry"))
+		assert.Check(t, err)
+		if attempts.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}), nil)
+	front = f.add("front", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		for range 2 {
+			_, err := caller.Do(childRequest(t, r, http.MethodGet, front.loopback, "search", ""))
+			assert.Check(t, err)
+		}
+	}), nil)
+	_, err := caller.Do(newRequest(t, http.MethodGet, front.caller, "front", ""))
+	assert.NilError(t, err)
+	assert.Equal(t, attempts.Load(), int32(3))
+	assert.Equal(t, executions.Load(), int32(2))
+}
+
+// Guards against a drain that cuts off running calls or their child calls, or
+// accepts new calls after the notice period.
+func TestDrain(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Now()
+	f := newFleet(t, func(f *fleet) {
+		f.now = func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return now
+		}
+	})
+	entry := f.add("", "", nil)
+	f.add("ledger", startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "entry") }), nil)
+	started, resume := make(chan struct{}), make(chan struct{})
+	var n *node
+	n = f.add("search", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-resume
+		response, err := http.DefaultClient.Do(childRequest(t, r, http.MethodPost, n.loopback, "ledger", "x"))
+		assert.Check(t, err)
+		_, _ = io.Copy(w, response.Body)
+	}), nil)
+	answer := make(chan string, 1)
+	go func() {
+		response, err := newCaller(t).Do(newRequest(t, http.MethodPost, entry.caller, "search", "x"))
+		assert.Check(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.Check(t, err)
+		answer <- string(body)
+	}()
+	<-started
+	n.drain.Begin()
+	mu.Lock()
+	now = now.Add(time.Hour)
+	mu.Unlock()
+	drained := make(chan error, 1)
+	go func() { drained <- n.drain.Drained(context.Background()) }()
+	for _, address := range []string{n.caller, entry.caller} {
+		response, err := newCaller(t).Do(newRequest(t, http.MethodPost, address, "search", "x"))
+		assert.NilError(t, err)
+		assertCode(t, response, resultcode.Draining, resultcode.NotRun)
+	}
+	select {
+	case <-drained:
+		t.Fatal("drained while a call runs")
+	default:
+	}
+	close(resume)
+	assert.Equal(t, <-answer, "entry")
+	assert.NilError(t, <-drained)
+}
--- /dev/null
+++ b/internal/ingress/failure_test.go
@@ -0,0 +1,221 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/upstream"
+)
+
+// assertCode reads a response and checks its result code and outcome.
+func assertCode(t *testing.T, response *http.Response, code resultcode.Code, run resultcode.Execution) {
+	t.Helper()
+	_, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Header.Get(call.HeaderCode), strconv.Itoa(int(code)))
+	assert.Equal(t, response.Header.Get(call.HeaderRun), run.String())
+}
+
+// Guards against a truncated body that looks complete to the caller, on the way
+// through two nodes.
+func TestTruncatedResponseIsAborted(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		f := newFleet(t, nil)
+		f.add("search", startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+			if !chunked {
+				w.Header().Set("Content-Length", "200000")
+			}
+			_, _ = w.Write(make([]byte, 100000))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}), nil)
+		response, err := newCaller(t).Do(newRequest(t, http.MethodGet, f.nodes[0].caller, "search", ""))
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		assert.Assert(t, err != nil)
+	}
+}
+
+// Guards against an upstream that passes on the result headers of a dependency:
+// its own response would be taken for a refusal that was not run.
+func TestDependencyHeadersAreNotBelieved(t *testing.T) {
+	f := newFleet(t, nil)
+	entry := f.add("", "", nil)
+	var proxy *node
+	proxy = f.add("search", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		inner := newRequest(t, http.MethodPost, proxy.loopback, "ledger", "")
+		inner.Header = r.Header.Clone()
+		response, err := http.DefaultClient.Do(inner)
+		assert.Check(t, err)
+		for name, values := range response.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(response.StatusCode)
+		_, _ = io.Copy(w, response.Body)
+	}), nil)
+	f.add("ledger", "127.0.0.1:1", nil)
+	response, err := newCaller(t).Do(newRequest(t, http.MethodPost, entry.caller, "search", "x"))
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assertCode(t, response, resultcode.OK, resultcode.Unknown)
+}
+
+// Guards against a 503 without a declared refusal that is taken as proof that a
+// non-idempotent call was not run.
+func TestUndeclared503IsNotRepeated(t *testing.T) {
+	for _, declared := range []bool{false, true} {
+		var executions atomic.Int32
+		f := newFleet(t, nil)
+		for range 3 {
+			f.add("ledger", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+				executions.Add(1)
+				if declared {
+					w.Header().Set(call.HeaderRefusedAttempt, r.Header.Get(call.HeaderAttempt))
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}), func(a *upstream.Announcement) { a.RefusesBeforeWork = declared })
+		}
+		response, err := newCaller(t).Do(newRequest(t, http.MethodPost, f.nodes[0].caller, "ledger", "x"))
+		assert.NilError(t, err)
+		if declared {
+			assertCode(t, response, resultcode.UpstreamRefused, resultcode.NotRun)
+			assert.Equal(t, executions.Load(), int32(3))
+			continue
+		}
+		assertCode(t, response, resultcode.OK, resultcode.Unknown)
+		assert.Equal(t, executions.Load(), int32(1))
+	}
+}
+
+// Guards against a call that is reported as not run because its last attempt
+// was, although an earlier attempt may have run it.
+func TestEarlierAttemptKeepsOutcomeUnknown(t *testing.T) {
+	var n *node
+	f := newFleet(t, nil)
+	n = f.add("search", startUpstream(t, func(http.ResponseWriter, *http.Request) {
+		a := n.upstream.State().Announcement
+		a.Ready = false
+		assert.Check(t, n.upstream.Announce(a))
+		panic(http.ErrAbortHandler)
+	}), nil)
+	response, err := newCaller(t).Do(newRequest(t, http.MethodGet, n.caller, "search", ""))
+	assert.NilError(t, err)
+	assertCode(t, response, resultcode.ConnectionLost, resultcode.Unknown)
+}
+
+// Guards against work that goes on after its caller has gone, and against its
+// late response being delivered to a later call on the same connections.
+func TestLateResponseReachesNobody(t *testing.T) {
+	started, stopped := make(chan struct{}), make(chan struct{})
+	f := newFleet(t, nil)
+	entry := f.add("", "", nil)
+	f.add("search", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("slow") == "" {
+			_, _ = io.WriteString(w, r.Header.Get("X-Call"))
+			return
+		}
+		close(started)
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, "late")
+		close(stopped)
+	}), func(a *upstream.Announcement) { a.Slots, a.MaxConnections = 1, 1 })
+	caller := newCaller(t)
+	get := func(ctx context.Context, query, id string) (string, error) {
+		r := newRequest(t, http.MethodGet, entry.caller, "search", "")
+		r.URL.RawQuery = query
+		r.Header.Set("X-Call", id)
+		response, err := caller.Do(r.WithContext(ctx))
+		if err != nil {
+			return "", err
+		}
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+	first, err := get(context.Background(), "", "first")
+	assert.NilError(t, err)
+	assert.Equal(t, first, "first")
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-started; cancel() }()
+	_, err = get(ctx, "slow=1", "slow")
+	assert.ErrorIs(t, err, context.Canceled)
+	<-stopped
+	for i := range 20 {
+		id := strconv.Itoa(i)
+		body, err := get(context.Background(), "", id)
+		assert.NilError(t, err)
+		if strings.HasPrefix(body, "{") {
+			// The slot of the cancelled call may still be held.
+			continue
+		}
+		assert.Equal(t, body, id)
+	}
+}
+
+// Guards against refusals and responses that cost the caller its connection when
+// its short body has arrived; reconnecting would add load during overload.
+func TestShortBodiesKeepConnection(t *testing.T) {
+	f := newFleet(t, nil)
+	n := f.add("search", startUpstream(t, func(http.ResponseWriter, *http.Request) {}), nil)
+	f.services["empty"] = nil
+	f.connect()
+	caller := newCaller(t)
+	connections := 0
+	for range 5 {
+		for _, service := range []string{"search", "empty", "unknown"} {
+			trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+				if !info.Reused {
+					connections++
+				}
+			}}
+			r := newRequest(t, http.MethodPost, n.caller, service, strings.Repeat("x", 2000))
+			response, err := caller.Do(r.WithContext(httptrace.WithClientTrace(context.Background(), trace)))
+			assert.NilError(t, err)
+			_, err = io.ReadAll(response.Body)
+			assert.NilError(t, err)
+		}
+	}
+	assert.Equal(t, connections, 1)
+}
+
+// Guards against a caller that cannot see truncation, and against headers and
+// bodies above their limits.
+func TestRefusedRequests(t *testing.T) {
+	f := newFleet(t, func(f *fleet) { f.values.MaxBodyBytes = 1000 })
+	var executions atomic.Int32
+	n := f.add("search", startUpstream(t, func(http.ResponseWriter, *http.Request) { executions.Add(1) }), nil)
+	for _, c := range []struct {
+		request string
+		code    resultcode.Code
+	}{
+		{"GET / HTTP/1.0\r\nHost: search\r\n\r\n", resultcode.UnsupportedProtocol},
+		{"GET / HTTP/1.1\r\nHost: search\r\nX-Big: " + strings.Repeat("x", 70000) + "\r\n\r\n", resultcode.HeadersTooLarge},
+		{"POST / HTTP/1.1\r\nHost: search\r\nContent-Length: 1001\r\n\r\n", resultcode.BodyTooLarge},
+		{"GET / HTTP/1.1\r\nHost: search\r\nMustardwing-Timeout-Ms: -5\r\n\r\n", resultcode.MalformedHeader},
+		{"GET / HTTP/1.1\r\nHost: search\r\nMustardwing-Priority: urgent\r\n\r\n", resultcode.UnknownPriority},
+		{"GET / HTTP/1.1\r\nHost: other\r\n\r\n", resultcode.UnknownService},
+		{"GET / HTTP/1.1\r\nHost: search\r\nMustardwing-Timeout-Ms: 0\r\n\r\n", resultcode.DeadlineInsufficient},
+	} {
+		c1, err := net.Dial("tcp", n.caller)
+		assert.NilError(t, err)
+		_, err = io.WriteString(c1, c.request)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c1), nil)
+		assert.NilError(t, err)
+		assertCode(t, response, c.code, resultcode.NotRun)
+		assert.NilError(t, c1.Close())
+	}
+	assert.Equal(t, executions.Load(), int32(0))
+}
--- a/internal/ingress/fleet_test.go
+++ b/internal/ingress/fleet_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/balancer"
+	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/drain"
 	"github.com/mustardwing/mustardwing/internal/ingress"
 	"github.com/mustardwing/mustardwing/internal/peer"
@@ -67,6 +69,8 @@
 	values   settings.Values
 	baseline bool
 	guard    *memoryGuard
+	scope    tally.TestScope
+	now      func() time.Time
 	nodes    []*node
 	services map[string][]balancer.Instance
 }
@@ -76,6 +80,7 @@
 		t: t, values: settings.Defaults(),
 		guard:    &memoryGuard{keys: make(map[uuid.UUID]resultcode.Execution)},
 		services: make(map[string][]balancer.Instance),
+		scope:    tally.NewTestScope("", nil),
 	}
 	if change != nil {
 		change(f)
@@ -99,11 +104,11 @@
 // add starts a node. Without a service it has no upstream.
 func (f *fleet) add(service, address string, change func(*upstream.Announcement)) *node {
 	limits := fixedSettings{f.values}
-	n := &node{drain: drain.NewState(nil)}
+	n := &node{drain: drain.NewState(f.now)}
 	client := peer.NewClient(peer.ClientConfig{})
 	n.upstream = upstream.New(upstream.Config{Settings: limits, Baseline: f.baseline})
 	n.router = router.New(router.Config{
-		Settings: limits, Forwarder: client, Baseline: f.baseline,
+		Settings: limits, Forwarder: client, Baseline: f.baseline, Scope: f.scope,
 		Random: func() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) },
 	})
 	config := ingress.Config{Settings: limits, Router: n.router, Drain: n.drain}
@@ -140,6 +145,23 @@
 	}
 }
 
+// count returns a counter's sum over all nodes.
+func (f *fleet) count(name string) int64 {
+	return f.scope.Snapshot().Counters()[name+"+"].Value()
+}
+
+// childRequest is an outgoing call of an upstream, with the headers that it is
+// documented to copy.
+func childRequest(t *testing.T, parent *http.Request, method, loopback, service, body string) *http.Request {
+	r := newRequest(t, method, loopback, service, body)
+	for _, name := range []string{call.HeaderRequestID, call.HeaderAttempt, "Traceparent", "Tracestate"} {
+		if values, ok := parent.Header[name]; ok {
+			r.Header[name] = values
+		}
+	}
+	return r
+}
+
 // startUpstream serves a handler as an upstream instance would.
 func startUpstream(t *testing.T, handler http.HandlerFunc) string {
 	return serve(t, &http.Server{Handler: handler})
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -71,7 +71,7 @@
 func (h *CallerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, span := relay.StartSpan(r.Context(), h.front.config.Tracer, "mustardwing.caller", r.Header)
 	defer span.End()
-	hints, err := h.front.accept(r)
+	hints, err := h.front.accept(w, r)
 	if err == nil {
 		err = h.front.config.Drain.Enter()
 	}
@@ -97,7 +97,8 @@
 }
 
 // accept checks what can be checked without knowing the service.
-func (f *front) accept(r *http.Request) (call.Hints, error) {
+func (f *front) accept(w http.ResponseWriter, r *http.Request) (call.Hints, error) {
+	allowEarlyResponse(w, r)
 	if !r.ProtoAtLeast(1, 1) {
 		return call.Hints{}, resultcode.New(resultcode.UnsupportedProtocol, "%s: want HTTP/1.1 or HTTP/2", r.Proto)
 	}
@@ -207,20 +208,23 @@
 		f.refuse(w, m.RequestID, resultcode.New(resultcode.BodyTooLarge, "body has %d bytes: want at most %d", r.ContentLength, values.MaxBodyBytes))
 		return
 	}
-	if r.ContentLength != 0 && r.ProtoMajor == 1 {
-		// Without it net/http reads much of the body before it sends a response,
-		// and a refusal would wait for a slow upload.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+	if !f.config.Now().Before(m.Deadline) {
+		f.refuse(w, m.RequestID, resultcode.New(resultcode.DeadlineInsufficient, "no time is left"))
+		return
 	}
 	defer limitIO(ctx, w, r.ContentLength != 0).release()
 	request := peer.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength}
-	body := router.NewBody(newLimitedBody(r.Body, values.MaxBodyBytes), r.ContentLength)
+	source := newCallerBody(r.Body, values.MaxBodyBytes)
+	body := router.NewBody(source, r.ContentLength)
 	outgoing, response, err := f.config.Router.Start(ctx, m, request, body, values.Hedge)
 	if err != nil {
 		settle(parent, outgoing.Finish())
+		discardShort(w, r, source)
+		keepConnection(w, source)
 		f.refuse(w, m.RequestID, err)
 		return
 	}
+	keepConnection(w, source)
 	f.answer(w, r, m, outgoing, response, parent)
 }
 
