Drain: an upstream that leaves does not stop its node from taking callers' calls

Cause: the announcement handler began the drain of the state that the caller listener uses, so the node answered 103 to every caller once its own upstream drained (seen by TestDrainedUpstreamGetsNoNewWork). Ruled out: stale members tables; all five nodes showed the instance as draining. The node now keeps one drain state for callers and one for the work of its upstream, and an upstream that announces itself again ends the drain.

--- a/internal/drain/state.go
+++ b/internal/drain/state.go
@@ -43,6 +43,14 @@
 	s.refuse = s.now().Add(Notice)
 }
 
+// Cancel accepts calls again: another upstream has taken the place of the one
+// that left.
+func (s *State) Cancel() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begun = false
+}
+
 // Draining reports whether Begin was called.
 func (s *State) Draining() bool {
 	s.mu.Lock()
--- a/internal/ingress/announcement.go
+++ b/internal/ingress/announcement.go
@@ -34,8 +34,5 @@
 	if err := h.config.Upstream.Announce(a); err != nil {
 		return err
 	}
-	if a.Draining {
-		h.front.config.Drain.Begin()
-	}
 	return nil
 }
--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -16,8 +16,11 @@
 		a.Ready = s.ReadySince
 	})
 	n.directory.applyOwn(n.members.Self())
-	if s.Draining {
+	switch {
+	case s.Draining:
 		n.work.Begin()
+	case !n.callers.Draining():
+		n.work.Cancel()
 	}
 }
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -229,3 +229,9 @@
 	}
 	return data, nil
 }
+
+// Drain makes the upstream announce that it is leaving.
+func (i *Instance) Drain() error {
+	_, err := get("http://" + i.Upstream.FirstLine + "/control/drain")
+	return err
+}
