Data path: short responses in two frames, early headers, hedges under test

Cause: a short response cost a third frame for its trailer; a header waited for the first byte of its body, which can block a caller that waits for it; hedges and spans had no test; both ends of idle peer connections pinged.

Headers of long or unknown-length responses are sent at once. Only clients ping. The hedge delay can be set, for tests.

--- a/internal/ingress/fleet_test.go
+++ b/internal/ingress/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/balancer"
@@ -71,6 +72,8 @@
 	guard    *memoryGuard
 	scope    tally.TestScope
 	now      func() time.Time
+	hedge    func(string) (time.Duration, bool)
+	tracer   trace.Tracer
 	nodes    []*node
 	services map[string][]balancer.Instance
 }
@@ -108,13 +111,13 @@
 	client := peer.NewClient(peer.ClientConfig{})
 	n.upstream = upstream.New(upstream.Config{Settings: limits, Baseline: f.baseline})
 	n.router = router.New(router.Config{
-		Settings: limits, Forwarder: client, Baseline: f.baseline, Scope: f.scope,
+		Settings: limits, Forwarder: client, Baseline: f.baseline, Scope: f.scope, HedgeDelay: f.hedge,
 		Random: func() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) },
 	})
-	config := ingress.Config{Settings: limits, Router: n.router, Drain: n.drain}
+	config := ingress.Config{Settings: limits, Router: n.router, Drain: n.drain, Tracer: f.tracer}
 	running, ledger := upstream.NewRunning(), retry.NewLedger()
 	n.peer = serve(f.t, peer.NewServer(peer.NewHandler(peer.HandlerConfig{
-		Upstream: n.upstream, Running: running, Ledger: ledger, Guard: f.guard, Drain: n.drain,
+		Upstream: n.upstream, Running: running, Ledger: ledger, Guard: f.guard, Drain: n.drain, Tracer: f.tracer,
 	})))
 	n.caller = serve(f.t, ingress.NewServer(ingress.NewCallerHandler(config)))
 	n.loopback = serve(f.t, ingress.NewServer(ingress.NewLoopbackHandler(ingress.LoopbackConfig{
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -18,16 +18,17 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	// pingAfter and pingTimeout bound how long a silent partition goes unnoticed
-	// on a connection with calls in flight.
-	pingAfter   = 3 * time.Second
-	pingTimeout = 2 * time.Second
+	// pingAfter and pingTimeout bound how long a silent partition goes unnoticed.
+	// Only the client pings: the server's calls end with their deadlines, and
+	// pings on idle connections count towards the control overhead.
+	pingAfter   = 5 * time.Second
+	pingTimeout = 3 * time.Second
 	// streamBufferBytes and connectionBufferBytes bound the memory of bodies
 	// that arrive faster than they are passed on.
 	streamBufferBytes     = 256 << 10
 	connectionBufferBytes = 4 << 20
 	maxHeaderBytes        = 128 << 10
-	idleTimeout           = 10 * time.Minute
+	idleTimeout           = 90 * time.Second
 )
 
 // errReplay stops the HTTP/2 transport from sending an attempt a second time.
--- a/internal/peer/execution.go
+++ b/internal/peer/execution.go
@@ -70,16 +70,34 @@
 	defer func() { _ = response.Body.Close() }()
 	e.status = response.StatusCode
 	e.complete(ctx)
-	e.handler.counts.Count(resultcode.OK)
-	if !relay.HasBody(r.Method, response.StatusCode, response.ContentLength) {
-		// Such a response has no trailers.
-		e.writeSpentHeader(w)
+	if relay.Short(r.Method, response) {
+		return e.relayShort(w, response)
 	}
-	e.handler.writeHeader(w, response, outcome)
+	e.handler.counts.Count(resultcode.OK)
+	e.handler.writeHeader(w, response, e.outcome)
 	e.relayBody(w, response)
 	return nil
 }
 
+// relayShort reads a short body before it sends the header. That saves a frame
+// for the trailer, and a body that ends early can still be reported with a code.
+func (e *execution) relayShort(w http.ResponseWriter, response *http.Response) error {
+	body, release, err := relay.ReadShort(response)
+	defer release()
+	e.writeSpentHeader(w)
+	if err != nil {
+		failure := resultcode.Wrap(err, resultcode.ConnectionLost, "the response body ended early")
+		failure.Execution = e.outcome
+		return failure
+	}
+	e.handler.counts.Count(resultcode.OK)
+	e.handler.writeHeader(w, response, e.outcome)
+	if _, err := w.Write(body); err != nil && len(body) > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
 // relayBody aborts the stream when the body ends early, so that the end is not
 // taken for a complete response.
 func (e *execution) relayBody(w http.ResponseWriter, response *http.Response) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,8 +23,6 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          maxStreams,
-			SendPingTimeout:               pingAfter,
-			PingTimeout:                   pingTimeout,
 			MaxReceiveBufferPerStream:     streamBufferBytes,
 			MaxReceiveBufferPerConnection: connectionBufferBytes,
 		},
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -21,6 +21,12 @@
 	defer buffers.Put(pooled)
 	buffer := *pooled
 	control := http.NewResponseController(w)
+	if flush {
+		// The header may be what the receiver waits for before it sends more.
+		if failed := control.Flush(); failed != nil {
+			return 0, nil, failed
+		}
+	}
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
@@ -57,3 +63,24 @@
 	}
 	return contentLength != 0
 }
+
+// Short reports whether a response has a body that fits in one buffer, or none.
+func Short(method string, response *http.Response) bool {
+	if !HasBody(method, response.StatusCode, response.ContentLength) {
+		return true
+	}
+	return response.ContentLength > 0 && response.ContentLength <= bufferBytes && len(response.Trailer) == 0
+}
+
+// ReadShort reads the body of a short response. The result is valid until
+// release is called.
+func ReadShort(response *http.Response) (body []byte, release func(), err error) {
+	pooled := buffers.Get().(*[]byte)
+	release = func() { buffers.Put(pooled) }
+	if !HasBody(response.Request.Method, response.StatusCode, response.ContentLength) {
+		return nil, release, nil
+	}
+	body = (*pooled)[:response.ContentLength]
+	_, err = io.ReadFull(response.Body, body)
+	return body, release, err
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -37,6 +37,8 @@
 	// Baseline retries three times at each hop regardless of the allowance,
 	// chooses round robin and never hedges.
 	Baseline bool
+	// HedgeDelay replaces the balancers' hedge delay; nil keeps it.
+	HedgeDelay func(kind string) (time.Duration, bool)
 	// Random returns the random source of one balancer; nil takes a seed from
 	// the runtime.
 	Random func() *rand.Rand
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -14,6 +14,9 @@
 	if !c.hedge || len(c.excluded) > 0 || !c.budget.affords(again) {
 		return 0, false
 	}
+	if own := c.router.config.HedgeDelay; own != nil {
+		return own(c.metadata.Kind)
+	}
 	return c.balancer.HedgeDelay(c.router.config.Now(), c.metadata.Kind)
 }
 
