--- /dev/null
+++ b/internal/idempotency/config.go
@@ -0,0 +1,83 @@
+package idempotency
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/platform"
+)
+
+// Defaults of a Manager.
+const (
+	DefaultWindow         = 10 * time.Minute
+	DefaultIsolationLimit = time.Hour
+	// DefaultMaxKeys holds the keys of 100 non-idempotent calls a second for the
+	// default window in about 15 MB.
+	DefaultMaxKeys = 1 << 16
+	// DefaultMaxReports bounds the reports that wait for an owner.
+	DefaultMaxReports = 1 << 13
+	DefaultRPCTimeout = time.Second
+)
+
+// Config configures a Manager. Zero values of the fields with a default mean
+// the default.
+type Config struct {
+	// Service is the service whose upstream runs beside this node.
+	Service string
+	// Self is this process, with the address of its peer listener.
+	Self Member
+	// Store holds the ownership record; it is the node's rate-limited store.
+	Store platform.Store
+	// Live returns the members of the service that are alive or suspect and not
+	// draining, as membership sees them. It may include this process.
+	Live func() []*peerv1.OwnerMember
+	// Peer returns a client for the peer listener at an address.
+	Peer func(address string) peerv1.PeerServiceClient
+	// Now is the node's clock. Default time.Now.
+	Now func() time.Time
+	// Random returns a number in [0,1).
+	Random func() float64
+	// Window is how long keys are remembered, the setting key_window.
+	Window time.Duration
+	// IsolationLimit is how long ownership holds without the platform, the
+	// setting isolation_limit.
+	IsolationLimit time.Duration
+	MaxKeys        int
+	MaxReports     int
+	RPCTimeout     time.Duration
+	Log            zerolog.Logger
+	// OnViolation is called when an invariant of the protocol does not hold. The
+	// Manager logs it in any case.
+	OnViolation func(error)
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	if c.Window == 0 {
+		c.Window = DefaultWindow
+	}
+	if c.IsolationLimit == 0 {
+		c.IsolationLimit = DefaultIsolationLimit
+	}
+	if c.MaxKeys == 0 {
+		c.MaxKeys = DefaultMaxKeys
+	}
+	if c.MaxReports == 0 {
+		c.MaxReports = DefaultMaxReports
+	}
+	if c.RPCTimeout == 0 {
+		c.RPCTimeout = DefaultRPCTimeout
+	}
+	if c.OnViolation == nil {
+		c.OnViolation = func(error) {}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/idempotency/key_table.go
@@ -0,0 +1,179 @@
+package idempotency
+
+import (
+	"container/heap"
+
+	"github.com/google/uuid"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// maxEndedAttempts bounds the attempts remembered per key as ended. A key with
+// more is not granted again; a root request has at most 42 attempts.
+const maxEndedAttempts = 64
+
+// keyTable remembers the keys granted by one owner. A forgotten key stays
+// refused, because the floor lies above it.
+type keyTable struct {
+	entries map[uuid.UUID]*keyEntry
+	order   keyHeap
+	// floor is the oldest issue time still accepted; it only rises.
+	floor int64
+	limit int
+}
+
+type keyState uint8
+
+const (
+	keyFree keyState = iota
+	keyRunning
+	keyCompleted
+	keyUnknown
+)
+
+type keyEntry struct {
+	key     uuid.UUID
+	issued  int64
+	state   keyState
+	attempt uuid.UUID
+	status  int
+	// ended holds the attempts that reported not run.
+	ended []uuid.UUID
+}
+
+func newKeyTable(limit int) *keyTable {
+	return &keyTable{entries: make(map[uuid.UUID]*keyEntry), limit: limit}
+}
+
+// lookup returns the answer for a key that is held; ok is false when the key
+// may be granted as far as the table knows.
+func (t *keyTable) lookup(key, attempt uuid.UUID) (a Answer, ok bool) {
+	e, held := t.entries[key]
+	if !held {
+		return Answer{State: TooOld}, issuedAt(key) < t.floor
+	}
+	switch e.state {
+	case keyRunning:
+		if e.attempt == attempt {
+			return Answer{State: Granted}, true
+		}
+		return Answer{State: Running}, true
+	case keyCompleted:
+		return Answer{State: Completed, Status: e.status}, true
+	case keyUnknown:
+		return Answer{State: Unknown}, true
+	}
+	if len(e.ended) >= maxEndedAttempts {
+		return Answer{State: Unknown}, true
+	}
+	return Answer{State: Running}, e.hasEnded(attempt)
+}
+
+// grant gives a key that lookup left open to an attempt. It is false when the
+// table is full of newer keys.
+func (t *keyTable) grant(key, attempt uuid.UUID) bool {
+	e, ok := t.open(key)
+	if !ok {
+		return false
+	}
+	if e.state != keyFree || e.hasEnded(attempt) {
+		panic("idempotency: key " + key.String() + " granted while it is not free for the attempt")
+	}
+	e.state = keyRunning
+	e.attempt = attempt
+	return true
+}
+
+// complete records how an attempt ended. An attempt that does not hold the key
+// changes only what is remembered of itself.
+func (t *keyTable) complete(key, attempt uuid.UUID, run resultcode.Execution, status int) {
+	e, held := t.entries[key]
+	if held && e.state == keyRunning && e.attempt == attempt {
+		e.finish(run, status)
+		return
+	}
+	if run != resultcode.NotRun {
+		return
+	}
+	// The acquisition may still arrive after this report.
+	if e, ok := t.open(key); ok && !e.hasEnded(attempt) && len(e.ended) < maxEndedAttempts {
+		e.ended = append(e.ended, attempt)
+	}
+}
+
+func (e *keyEntry) finish(run resultcode.Execution, status int) {
+	switch run {
+	case resultcode.NotRun:
+		e.state = keyFree
+		e.ended = append(e.ended, e.attempt)
+	case resultcode.Run:
+		e.state = keyCompleted
+		e.status = status
+	default:
+		e.state = keyUnknown
+	}
+}
+
+func (e *keyEntry) hasEnded(attempt uuid.UUID) bool {
+	for _, ended := range e.ended {
+		if ended == attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// open returns the entry of a key, adding one above the floor if necessary.
+func (t *keyTable) open(key uuid.UUID) (*keyEntry, bool) {
+	if e, ok := t.entries[key]; ok {
+		return e, true
+	}
+	issued := issuedAt(key)
+	if len(t.entries) >= t.limit && issued > t.order[0].issued {
+		t.evictOldest()
+	}
+	if issued < t.floor || len(t.entries) >= t.limit {
+		return nil, false
+	}
+	e := &keyEntry{key: key, issued: issued}
+	t.entries[key] = e
+	heap.Push(&t.order, e)
+	return e, true
+}
+
+// expire forgets the keys issued before oldest.
+func (t *keyTable) expire(oldest int64) {
+	for len(t.order) > 0 && t.order[0].issued < oldest {
+		t.evictOldest()
+	}
+}
+
+// evictOldest forgets all keys of the oldest issue time and raises the floor
+// above it.
+func (t *keyTable) evictOldest() {
+	issued := t.order[0].issued
+	t.floor = max(t.floor, issued+1)
+	for len(t.order) > 0 && t.order[0].issued == issued {
+		e := heap.Pop(&t.order).(*keyEntry)
+		delete(t.entries, e.key)
+	}
+}
+
+// keyHeap orders entries by issue time.
+type keyHeap []*keyEntry
+
+func (h keyHeap) Len() int           { return len(h) }
+func (h keyHeap) Less(i, j int) bool { return h[i].issued < h[j].issued }
+func (h keyHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *keyHeap) Push(x any) { *h = append(*h, x.(*keyEntry)) }
+
+// Pop implements heap.Interface.
+func (h *keyHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/internal/idempotency/leaver.go
@@ -0,0 +1,115 @@
+package idempotency
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Leave removes this process from the ownership record while it still serves.
+// When the platform is away it gives the other members unlimited leases instead.
+// It fails when a write is still open at the end of ctx; then the others refuse
+// keys from that write's start on until they reach the platform. Run keeps
+// running and is ended after Leave.
+func (m *Manager) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.maintenance.Lock()
+	defer m.maintenance.Unlock()
+	for m.isMember() {
+		if !m.settleOpen(ctx) {
+			return m.openWriteError()
+		}
+		if !m.read(ctx) {
+			break
+		}
+		if p := m.proposeLeave(); p != nil {
+			m.attempt(ctx, p)
+		}
+		if m.isMember() && !sleepTick(ctx) {
+			break
+		}
+	}
+	m.mu.Lock()
+	left := m.core.leave()
+	m.mu.Unlock()
+	if !left {
+		return m.openWriteError()
+	}
+	m.announceLeave(ctx)
+	return nil
+}
+
+func (m *Manager) openWriteError() error {
+	return resultcode.New(resultcode.PlatformUnavailable,
+		"service %q: the outcome of a write of the ownership record is unknown", m.config.Service)
+}
+
+// settleOpen repeats an open write until its outcome is known or ctx ends.
+func (m *Manager) settleOpen(ctx context.Context) bool {
+	for {
+		p := m.openProposal()
+		if p == nil || p.start == unlimited {
+			return true
+		}
+		m.attempt(ctx, p)
+		if m.openProposal() != p {
+			continue
+		}
+		if !sleepTick(ctx) {
+			return false
+		}
+	}
+}
+
+func (m *Manager) proposeLeave() *proposal {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.propose(now, change{remove: []Identity{m.self()}}, platform.NewWriteID())
+}
+
+// announceLeave gives every other member an unlimited lease with the newest
+// record, once more to those that do not answer.
+func (m *Manager) announceLeave(ctx context.Context) {
+	m.mu.Lock()
+	record := m.core.record
+	m.mu.Unlock()
+	if record == nil {
+		return
+	}
+	var group sync.WaitGroup
+	for _, member := range record.Newest().Members {
+		if member.Identity == m.self() {
+			continue
+		}
+		group.Go(func() {
+			for range 2 {
+				if m.announceLeaveTo(ctx, member, record) {
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+func (m *Manager) announceLeaveTo(ctx context.Context, to Member, record *Record) bool {
+	ctx, cancel := context.WithTimeout(ctx, m.config.RPCTimeout)
+	defer cancel()
+	_, err := m.client(to).RenewLease(ctx, connect.NewRequest(&peerv1.RenewLeaseRequest{
+		Service:     m.config.Service,
+		From:        m.config.Self.toProto(),
+		To:          to.toProto(),
+		Epoch:       record.Newest().Number,
+		UntilUnixMs: unlimited,
+		Record:      record.toProto(),
+	}))
+	return err == nil
+}
--- /dev/null
+++ b/internal/idempotency/manager_guard.go
@@ -0,0 +1,157 @@
+package idempotency
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// maxAsks bounds the owners asked for one acquisition: the owner by this node's
+// record and the one by a newer record that the answer carried.
+const maxAsks = 2
+
+// Acquire implements Guard.
+func (m *Manager) Acquire(ctx context.Context, service string, key, attempt uuid.UUID) error {
+	if service != m.config.Service {
+		return resultcode.New(resultcode.OwnerUnavailable,
+			"service %q is not the one beside this node, %q", service, m.config.Service)
+	}
+	if _, err := IssueTime(key); err != nil {
+		return err
+	}
+	answer := Answer{State: NotOwner}
+	for range maxAsks {
+		owner, version, err := m.ownerOf(key)
+		if err != nil {
+			return err
+		}
+		answer, err = m.ask(ctx, owner, key, attempt)
+		if err != nil {
+			// The owner may have granted the key.
+			m.Complete(ctx, service, key, attempt, resultcode.NotRun, 0)
+			return m.unavailable(owner, key, err)
+		}
+		if answer.State != NotOwner {
+			break
+		}
+		if m.version() == version {
+			return m.unavailable(owner, key, nil)
+		}
+	}
+	return answerError(key, answer)
+}
+
+// ownerOf returns the owner by this node's record, and the record's version.
+func (m *Manager) ownerOf(key uuid.UUID) (Member, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.core.record
+	if r == nil {
+		return Member{}, 0, resultcode.New(resultcode.OwnerUnavailable,
+			"no ownership record of service %q is known yet", m.config.Service)
+	}
+	epoch, ok := r.EpochOf(issuedAt(key))
+	if !ok {
+		return Member{}, 0, resultcode.New(resultcode.KeyTooOld,
+			"key %s was issued before the oldest epoch kept", key)
+	}
+	owner, ok := epoch.Owner(key)
+	if !ok {
+		return Member{}, 0, resultcode.New(resultcode.OwnerUnavailable,
+			"service %q has no owners", m.config.Service)
+	}
+	return owner, r.Version, nil
+}
+
+func (m *Manager) version() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.core.record == nil {
+		return 0
+	}
+	return m.core.record.Version
+}
+
+// ask returns the owner's answer. With an error the owner may have granted.
+func (m *Manager) ask(ctx context.Context, owner Member, key, attempt uuid.UUID) (Answer, error) {
+	if owner.Identity == m.self() {
+		return m.answer(key, attempt), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.config.RPCTimeout)
+	defer cancel()
+	response, err := m.client(owner).AcquireExecution(ctx, connect.NewRequest(&peerv1.AcquireExecutionRequest{
+		Service: m.config.Service, Key: key[:], Attempt: attempt[:],
+	}))
+	if err != nil {
+		return Answer{}, err
+	}
+	m.adoptMessage(response.Msg.Record)
+	return Answer{State: stateFromProto(response.Msg.State), Status: int(response.Msg.Status)}, nil
+}
+
+// answer decides as the owner.
+func (m *Manager) answer(key, attempt uuid.UUID) Answer {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.core.acquire(now, key, attempt)
+	m.stats.count(a.State)
+	return a
+}
+
+// unavailable is the error for a key whose owner did not decide. The keys of an
+// owner that has gone cannot be decided any more.
+func (m *Manager) unavailable(owner Member, key uuid.UUID, cause error) error {
+	m.mu.Lock()
+	record := m.core.record
+	m.mu.Unlock()
+	if record.Newest().Has(owner.Identity) {
+		return resultcode.Wrap(cause, resultcode.OwnerUnavailable, "owner %s of key %s cannot prove its ownership now", owner.ID, key)
+	}
+	if _, alive := m.live()[owner.Identity]; alive {
+		return resultcode.Wrap(cause, resultcode.OwnerUnavailable, "former owner %s of key %s did not decide", owner.ID, key)
+	}
+	return resultcode.Wrap(cause, resultcode.KeyUnknown, "owner %s of key %s has gone", owner.ID, key)
+}
+
+func answerError(key uuid.UUID, a Answer) error {
+	switch a.State {
+	case Granted:
+		return nil
+	case Running:
+		return resultcode.New(resultcode.KeyInProgress, "another attempt holds key %s", key)
+	case Completed:
+		return resultcode.Wrap(&completedStatus{a.Status}, resultcode.KeyCompleted, "key %s was run", key)
+	case Unknown:
+		return resultcode.New(resultcode.KeyUnknown, "an earlier attempt with key %s ended without a known outcome", key)
+	case TooOld:
+		return resultcode.New(resultcode.KeyTooOld, "key %s is older than what its owner remembers", key)
+	default:
+		return resultcode.New(resultcode.OwnerUnavailable, "the owner of key %s cannot prove its ownership now", key)
+	}
+}
+
+// completedStatus is the cause of a KeyCompleted error.
+type completedStatus struct {
+	status int
+}
+
+// Error implements error.
+func (e *completedStatus) Error() string {
+	return "the upstream answered before"
+}
+
+// OriginalStatus returns the HTTP status of the first execution from a
+// KeyCompleted error of Acquire.
+func OriginalStatus(err error) (status int, ok bool) {
+	var completed *completedStatus
+	if !errors.As(err, &completed) {
+		return 0, false
+	}
+	return completed.status, true
+}
--- /dev/null
+++ b/internal/idempotency/manager_rpc.go
@@ -0,0 +1,149 @@
+package idempotency
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+var errOtherMember = errors.New("the message names another process or service")
+
+// AcquireExecution answers another node of the service as the owner of a key.
+func (m *Manager) AcquireExecution(_ context.Context, r *connect.Request[peerv1.AcquireExecutionRequest]) (*connect.Response[peerv1.AcquireExecutionResponse], error) {
+	key, attempt, err := m.parse(r.Msg.Service, r.Msg.Key, r.Msg.Attempt)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	a := m.answer(key, attempt)
+	response := &peerv1.AcquireExecutionResponse{State: statesToProto[a.State], Status: uint32(a.Status)}
+	if a.State == NotOwner {
+		response.Record = m.recordMessage()
+	}
+	return connect.NewResponse(response), nil
+}
+
+// CompleteExecution takes another node's report as the owner of a key.
+func (m *Manager) CompleteExecution(_ context.Context, r *connect.Request[peerv1.CompleteExecutionRequest]) (*connect.Response[peerv1.CompleteExecutionResponse], error) {
+	key, attempt, err := m.parse(r.Msg.Service, r.Msg.Key, r.Msg.Attempt)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	m.takeReport(key, attempt, executionFromProto(r.Msg.Execution), int(r.Msg.Status))
+	return connect.NewResponse(&peerv1.CompleteExecutionResponse{}), nil
+}
+
+// takeReport records a report if this process is the key's owner, and returns
+// whether it is.
+func (m *Manager) takeReport(key, attempt uuid.UUID, run resultcode.Execution, status int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.core.record == nil {
+		return false
+	}
+	epoch, ok := m.core.record.EpochOf(issuedAt(key))
+	if !ok {
+		return false
+	}
+	if owner, ok := epoch.Owner(key); !ok || owner.Identity != m.self() {
+		return false
+	}
+	m.core.complete(key, attempt, run, status)
+	return true
+}
+
+// RenewLease takes a lease from another member.
+func (m *Manager) RenewLease(_ context.Context, r *connect.Request[peerv1.RenewLeaseRequest]) (*connect.Response[peerv1.RenewLeaseResponse], error) {
+	message := r.Msg
+	if message.Service != m.config.Service || memberFromProto(message.To).Identity != m.self() {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errOtherMember)
+	}
+	m.adoptMessage(message.Record)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := memberFromProto(message.From)
+	m.core.receiveLease(from.Identity, message.Epoch, message.UntilUnixMs)
+	response := &peerv1.RenewLeaseResponse{}
+	if m.core.record == nil {
+		return connect.NewResponse(response), nil
+	}
+	response.Epoch = m.core.record.Newest().Number
+	if message.Epoch < response.Epoch {
+		m.resend(from.Identity)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// JoinOwnership notes that a process wants to be a member; the next change of
+// the record adds it.
+func (m *Manager) JoinOwnership(_ context.Context, r *connect.Request[peerv1.JoinOwnershipRequest]) (*connect.Response[peerv1.JoinOwnershipResponse], error) {
+	if r.Msg.Service != m.config.Service {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errOtherMember)
+	}
+	member := memberFromProto(r.Msg.Member)
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	response := &peerv1.JoinOwnershipResponse{Record: m.core.record.toProto()}
+	if m.core.isMember() && !m.leaving && !m.core.leases.departed[member.Identity] {
+		m.noteJoin(now, member)
+		response.Accepted = true
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (m *Manager) parse(service string, key, attempt []byte) (k, a uuid.UUID, err error) {
+	if service != m.config.Service {
+		return k, a, errOtherMember
+	}
+	if k, err = uuid.FromBytes(key); err != nil {
+		return k, a, errors.Wrap(err, "key")
+	}
+	if _, err = IssueTime(k); err != nil {
+		return k, a, err
+	}
+	a, err = uuid.FromBytes(attempt)
+	return k, a, errors.Wrap(err, "attempt")
+}
+
+func (m *Manager) recordMessage() *peerv1.OwnershipRecord {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.record.toProto()
+}
+
+func (m *Manager) adoptMessage(message *peerv1.OwnershipRecord) {
+	record, err := recordFromProto(m.config.Service, message)
+	if err != nil || record == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.adopt(record)
+}
+
+func executionFromProto(e peerv1.Execution) resultcode.Execution {
+	switch e {
+	case peerv1.Execution_EXECUTION_NOT_RUN:
+		return resultcode.NotRun
+	case peerv1.Execution_EXECUTION_RUN:
+		return resultcode.Run
+	default:
+		return resultcode.Unknown
+	}
+}
+
+func executionToProto(e resultcode.Execution) peerv1.Execution {
+	switch e {
+	case resultcode.NotRun:
+		return peerv1.Execution_EXECUTION_NOT_RUN
+	case resultcode.Run:
+		return peerv1.Execution_EXECUTION_RUN
+	default:
+		return peerv1.Execution_EXECUTION_UNKNOWN
+	}
+}
--- /dev/null
+++ b/internal/idempotency/proposal.go
@@ -0,0 +1,148 @@
+package idempotency
+
+// proposal is a write of the record whose outcome is open.
+type proposal struct {
+	// record is the value to write; its Version is the condition.
+	record *Record
+	// start is that of the added epoch, and unlimited when none is added.
+	start int64
+	// sent is set once an attempt may have reached the platform. From then on
+	// only a moved version settles the proposal, even when a later attempt is
+	// known to have had no effect.
+	sent bool
+}
+
+// change is what a writer wants to do to the members of the newest epoch.
+type change struct {
+	add    []Member
+	remove []Identity
+}
+
+func (ch change) empty() bool {
+	return len(ch.add) == 0 && len(ch.remove) == 0
+}
+
+// apply returns the members after the change.
+func (ch change) apply(members []Member) []Member {
+	var result []Member
+	for _, m := range members {
+		if !ch.removes(m.Identity) {
+			result = append(result, m)
+		}
+	}
+	present := Epoch{Members: result}
+	for _, m := range ch.add {
+		if !present.Has(m.Identity) {
+			result = append(result, m)
+			present.Members = result
+		}
+	}
+	return result
+}
+
+func (ch change) removes(id Identity) bool {
+	for _, r := range ch.remove {
+		if r == id {
+			return true
+		}
+	}
+	return false
+}
+
+// propose starts a change of members by this member and caps leases and grants
+// until its outcome is known. It is nil when the member may not write now.
+func (c *core) propose(now int64, ch change, writeID string) *proposal {
+	if !c.mayWrite() {
+		return nil
+	}
+	newest := c.record.Newest()
+	members := ch.apply(newest.Members)
+	losers := newest.losers(members)
+	start := max(newest.Start+1, c.highest+1, c.leases.highestGiven(losers))
+	if losesLiving(losers, ch) || ch.removes(c.config.self.Identity) {
+		start = max(start, now+StartLead.Milliseconds())
+	}
+	record := c.record.next(start, members, now-c.config.window.Milliseconds())
+	return c.open(now, record, start, writeID)
+}
+
+// losesLiving reports whether a member that stays may lose keys. The new epoch
+// then starts ahead of the clock; otherwise an earlier start is better, because
+// the keys issued since the removed member's lease find an owner.
+func losesLiving(losers []Member, ch change) bool {
+	for _, m := range losers {
+		if !ch.removes(m.Identity) {
+			return true
+		}
+	}
+	return false
+}
+
+// proposeValidity starts an extension of valid_until. It caps nothing: until the
+// outcome is known the former value counts.
+func (c *core) proposeValidity(now int64, writeID string) *proposal {
+	if !c.mayWrite() {
+		return nil
+	}
+	record := *c.record
+	return c.open(now, &record, unlimited, writeID)
+}
+
+// mayWrite is false for a process that is not a member, has left, or has an
+// open change of members. An open extension of valid_until may be given up: it
+// and a later write name the same version, so one of them takes no effect.
+func (c *core) mayWrite() bool {
+	return c.isMember() && !c.left && c.proposalStart() == unlimited
+}
+
+// takeOver starts a write by a process that is not a member. The caller has
+// checked that it may write, and start follows from that proof.
+func (c *core) takeOver(now, start int64, members []Member, writeID string) *proposal {
+	start = max(start, c.record.Newest().Start+1)
+	record := c.record.next(start, members, now-c.config.window.Milliseconds())
+	return c.open(now, record, start, writeID)
+}
+
+// create starts the write of a service's first record.
+func (c *core) create(now int64, service string, members []Member, writeID string) *proposal {
+	record := &Record{Service: service, Epochs: []Epoch{{Number: 1, Start: now, Members: members}}}
+	return c.open(now, record, unlimited, writeID)
+}
+
+// open makes the record the outstanding proposal. Every write extends
+// valid_until, which never falls.
+func (c *core) open(now int64, r *Record, start int64, writeID string) *proposal {
+	r.ValidUntil = max(r.ValidUntil, now+c.config.isolation.Milliseconds())
+	r.WriteID = writeID
+	if c.record != nil {
+		r.Version = c.record.Version
+	}
+	c.proposal = &proposal{record: r, start: start}
+	return c.proposal
+}
+
+// notSent ends a proposal of which no attempt reached the platform.
+func (c *core) notSent(p *proposal) {
+	if c.proposal == p && !p.sent {
+		c.proposal = nil
+	}
+}
+
+// takeoverStart returns the start of an epoch written by a process that is not
+// a member, or false while it may not write. Proofs holds, for members proved
+// dead, the start of the process that replaced them, in unix milliseconds.
+func takeoverStart(now int64, r *Record, proofs map[Identity]int64) (start int64, ok bool) {
+	newest := r.Newest()
+	if len(newest.Members) == 0 {
+		return now, true
+	}
+	start = now
+	for _, m := range newest.Members {
+		replaced, dead := proofs[m.Identity]
+		if !dead {
+			return max(now, r.ValidUntil), now >= r.ValidUntil
+		}
+		start = max(start, replaced)
+	}
+	return start + (AheadLimit + ClockTolerance).Milliseconds(), true
+}
--- /dev/null
+++ b/internal/idempotency/wanted.go
@@ -0,0 +1,117 @@
+package idempotency
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// rankWait is how much longer each next member waits before it writes a
+	// change that an earlier one should have written.
+	rankWait = 2 * time.Second
+	// joinBatch is the wait in which joins are collected for one change.
+	joinBatch = 300 * time.Millisecond
+	// joinLifetime is how long a request to join counts; the process repeats it.
+	joinLifetime = 5 * time.Second
+	// halfWait and minorityWait delay the removal of members by a side that sees
+	// only half or fewer of them, so that the larger side removes it first.
+	halfWait     = 3 * time.Second
+	minorityWait = 15 * time.Second
+)
+
+// joinRequest is a process that asked to be a member.
+type joinRequest struct {
+	member Member
+	// at is when it asked last, in unix milliseconds.
+	at int64
+}
+
+// wantedSince says since when a change of the record is wanted; zero when none
+// is. Unix milliseconds.
+type wantedSince struct {
+	at int64
+}
+
+// rank returns the members in the order in which they write.
+func ranked(service string, members []Member) []Member {
+	ordered := append([]Member(nil), members...)
+	sort.Slice(ordered, func(i, j int) bool {
+		a, b := rankOf(service, ordered[i]), rankOf(service, ordered[j])
+		return a > b || a == b && ordered[i].ID < ordered[j].ID
+	})
+	return ordered
+}
+
+func rankOf(service string, m Member) uint64 {
+	return xxhash.Sum64String(service + "\x00" + m.ID)
+}
+
+// wantedChange compares the members of the newest epoch with those alive.
+func wantedChange(newest Epoch, live map[Identity]Member, departed map[Identity]bool, joining []Member) change {
+	var ch change
+	incarnations := make(map[string]uint64)
+	candidates := joining
+	for _, m := range live {
+		candidates = append(candidates, m)
+	}
+	candidates = append(candidates, newest.Members...)
+	for _, m := range candidates {
+		incarnations[m.ID] = max(incarnations[m.ID], m.Incarnation)
+	}
+	for _, m := range newest.Members {
+		_, alive := live[m.Identity]
+		if !alive || departed[m.Identity] || incarnations[m.ID] > m.Incarnation {
+			ch.remove = append(ch.remove, m.Identity)
+		}
+	}
+	added := make(map[Identity]bool)
+	for _, m := range candidates {
+		superseded := incarnations[m.ID] > m.Incarnation
+		if added[m.Identity] || newest.Has(m.Identity) || departed[m.Identity] || superseded {
+			continue
+		}
+		added[m.Identity] = true
+		ch.add = append(ch.add, m)
+	}
+	sort.Slice(ch.add, func(i, j int) bool { return ch.add[i].ID < ch.add[j].ID })
+	return ch
+}
+
+// changeWait returns how long self waits before it writes a change.
+func changeWait(service string, newest Epoch, ch change, self Identity) time.Duration {
+	order := ranked(service, newest.Members)
+	wait := joinBatch
+	if len(ch.remove) > 0 {
+		wait = removalWait(order, ch)
+	}
+	for _, m := range order {
+		if m.Identity == self {
+			break
+		}
+		if !ch.removes(m.Identity) {
+			wait += rankWait
+		}
+	}
+	return wait
+}
+
+func removalWait(order []Member, ch change) time.Duration {
+	staying := 0
+	for _, m := range order {
+		if !ch.removes(m.Identity) {
+			staying++
+		}
+	}
+	switch {
+	case 2*staying > len(order):
+		return 0
+	case 2*staying == len(order) && !ch.removes(order[0].Identity):
+		return 0
+	case 2*staying == len(order):
+		return halfWait
+	default:
+		return minorityWait
+	}
+}
