Admission: calls of long kinds do not raise the level

Cause: long calls are shed at their bound while slots are free. They raised the level in Load, and calling nodes then refused short calls of the same priority. Change: the level counts only calls of kinds that are not long. The swing now runs for 6 s after the peak, since the baseline only collapses after 2 s.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -34,9 +34,11 @@
 // enter decides about a new call: it runs, waits or is refused at once.
 func (c *core) enter(now time.Time, r Request) *ticket {
 	c.classify(now)
-	c.level.arrive(now, r.level())
 	c.sequence++
 	t := &ticket{request: r, kind: c.kinds.get(now, r.Kind), sequence: c.sequence, entered: now}
+	if !t.kind.long {
+		c.level.arrive(now, r.level())
+	}
 	if c.config.Disabled {
 		c.start(now, t)
 		return t
@@ -76,7 +78,7 @@
 		return true
 	}
 	if remaining >= service {
-		c.level.refuse(t.request.level())
+		c.countShed(t)
 	}
 	return false
 }
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -86,10 +86,18 @@
 }
 
 func (c *core) shed(t *ticket, code resultcode.Code) {
-	c.level.refuse(t.request.level())
+	c.countShed(t)
 	c.refuse(t, code)
 }
 
+// countShed leaves out long kinds: they are shed because of their bound, and a
+// level that follows them would refuse short calls although slots are free.
+func (c *core) countShed(t *ticket) {
+	if !t.kind.long {
+		c.level.refuse(t.request.level())
+	}
+}
+
 // classify divides the kinds into short and long from time to time. When a kind
 // changes sides, its running and waiting calls change with it.
 func (c *core) classify(now time.Time) {
--- a/test/policy/measure_test.go
+++ b/test/policy/measure_test.go
@@ -89,7 +89,7 @@
 
 func rows() []row {
 	all := []row{
-		{name: "p99 of short calls, long jobs fill the service / none", aim: "<= 1.5", bound: 1.5, atMost: true, figure: p99Ratio(LongJobs, "short")},
+		{name: "p99 of short calls, long jobs fill the service / none", aim: "<= 1.5", bound: 1.5, atMost: true, ci: true, figure: p99Ratio(LongJobs, "short")},
 		{name: "p99, one instance in four ten times slower / none", aim: "<= 1.3", bound: 1.3, atMost: true, ci: true, figure: p99Ratio(Straggler, "search")},
 		{name: "same, non-idempotent critical calls", aim: "<= 1.3", bound: 1.3, atMost: true, figure: p99Ratio(Straggler, "payment")},
 		{name: "time to 95 % after the surge, s", aim: "<= 2", bound: 2, atMost: true, figure: recovery},
--- a/test/policy/scenarios.go
+++ b/test/policy/scenarios.go
@@ -76,10 +76,12 @@
 
 // Swing triples the demand within a second, from half of the capacity.
 func Swing() Scenario {
-	return DeepChain(func(at time.Duration) float64 {
+	s := DeepChain(func(at time.Duration) float64 {
 		ramp := min(max(0, (at-surgeStart).Seconds()), 1)
 		return DeepCapacity * (0.5 + ramp)
 	})
+	s.Length = surgeStart + 7*time.Second
+	return s
 }
 
 // LongJobs fills a single service with jobs ten times as long as the short calls,
