--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -34,13 +34,19 @@
 // enter decides about a new call: it runs, waits or is refused at once.
 func (c *core) enter(now time.Time, r Request) *ticket {
 	c.classify(now)
-	c.level.arrive(now, r.level())
 	c.sequence++
 	t := &ticket{request: r, kind: c.kinds.get(now, r.Kind), sequence: c.sequence, entered: now}
+	if !t.kind.long {
+		c.level.arrive(now, r.level())
+	}
 	if c.config.Disabled {
 		c.start(now, t)
 		return t
 	}
+	if t.kind.child.refuses(now, r.level()) {
+		c.refuse(t, resultcode.Overloaded)
+		return t
+	}
 	if !c.timeSuffices(now, t) {
 		c.refuse(t, resultcode.DeadlineInsufficient)
 		return t
@@ -72,7 +78,7 @@
 		return true
 	}
 	if remaining >= service {
-		c.level.refuse(t.request.level())
+		c.countShed(t)
 	}
 	return false
 }
@@ -179,6 +185,13 @@
 // teach learns from calls that were run. One with an unknown outcome, such as a
 // timeout, gives only a lower bound, which counts when it exceeds the mean.
 func (c *core) teach(now time.Time, t *ticket, run resultcode.Execution) {
+	if t.childShed && run == resultcode.Unknown {
+		t.kind.child.shed(now, t.request.level())
+		return
+	}
+	if run == resultcode.Run {
+		t.kind.child.served(now, t.request.level())
+	}
 	service := now.Sub(t.granted)
 	if run == resultcode.Run || (run == resultcode.Unknown && service > t.kind.expected()) {
 		c.kinds.teach(now, t.kind, service)
