Idempotency: randomised runs over several managers

Cause: the argument in docs/ownership.md needs a check against the code under combined faults. Change: a fleet of managers in a synctest bubble with fakes for RPC (loss, delay, late duplicates, one-way and full partitions), the platform (outage, lost answers, late writes, garbage, rate limits), pauses, crashes, graceful leaves and restarts; an observer fails when a key is held twice. The maintenance lock is a channel so that Leave is bounded by its context.

--- /dev/null
+++ b/internal/idempotency/fleet_test.go
@@ -0,0 +1,320 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+)
+
+const (
+	testService = "payments"
+	// detection is how long the fake membership takes to report a death.
+	detection = 4 * time.Second
+)
+
+// fleet runs several Managers over fakes inside a synctest bubble.
+type fleet struct {
+	t        *testing.T
+	store    *platformtest.Store
+	observer *observer
+	sabotage sabotage
+	config   func(*Config)
+
+	mu     sync.Mutex
+	random *rand.Rand
+	nodes  []*node
+	// cut holds the directed pairs of addresses between which calls are lost.
+	cut       map[[2]string]bool
+	loss, dup float64
+	healed    bool
+	delay     time.Duration
+	stop      context.CancelFunc
+	ctx       context.Context
+}
+
+// node is one address with the process that runs there now.
+type node struct {
+	fleet *fleet
+	id    string
+	addr  string
+	skew  time.Duration
+
+	*process
+}
+
+// process is one incarnation.
+type process struct {
+	member  Member
+	manager *Manager
+	cancel  context.CancelFunc
+	dead    bool
+	leaving bool
+	// resume is closed when a pause ends; nil while running.
+	resume      chan struct{}
+	cutPlatform bool
+	seen        map[Identity]seenMember
+}
+
+type seenMember struct {
+	member Member
+	at     time.Time
+}
+
+func newFleet(t *testing.T, seed uint64, size int) *fleet {
+	f := &fleet{
+		t:        t,
+		store:    platformtest.New(seed),
+		observer: newObserver(),
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		cut:      make(map[[2]string]bool),
+		delay:    2 * time.Millisecond,
+	}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	for i := range size {
+		f.nodes = append(f.nodes, &node{fleet: f, id: fmt.Sprintf("n%d", i), addr: fmt.Sprintf("addr%d", i)})
+	}
+	go f.runMembership()
+	return f
+}
+
+func (f *fleet) startAll() {
+	for _, n := range f.nodes {
+		n.start()
+	}
+}
+
+// close ends every process and waits for late calls.
+func (f *fleet) close() {
+	f.stop()
+	for _, n := range f.nodes {
+		n.crash()
+	}
+	time.Sleep(2 * time.Minute)
+}
+
+func (f *fleet) float() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64()
+}
+
+func (f *fleet) intn(n int) int {
+	return int(f.float() * float64(n))
+}
+
+func (f *fleet) duration(limit time.Duration) time.Duration {
+	return time.Duration(f.float() * float64(limit))
+}
+
+func (f *fleet) newKey(ahead time.Duration) uuid.UUID {
+	var key uuid.UUID
+	f.mu.Lock()
+	for i := range key {
+		key[i] = byte(f.random.Uint32())
+	}
+	f.mu.Unlock()
+	ms := time.Now().Add(ahead).UnixMilli()
+	for i := range 6 {
+		key[i] = byte(ms >> (40 - 8*i))
+	}
+	key[6] = key[6]&0x0f | keyVersion<<4
+	key[8] = key[8]&0x3f | 0x80
+	return key
+}
+
+// start runs a new process at the address.
+func (n *node) start() {
+	now := time.Now().Add(n.skew)
+	p := &process{
+		member: Member{Identity: Identity{ID: n.id, Incarnation: uint64(now.UnixNano())}, Address: n.addr},
+		seen:   make(map[Identity]seenMember),
+	}
+	var ctx context.Context
+	ctx, p.cancel = context.WithCancel(n.fleet.ctx)
+	config := Config{
+		Service:        testService,
+		Self:           p.member,
+		Store:          &nodeStore{fleet: n.fleet, process: p},
+		Live:           func() []*peerv1.OwnerMember { return n.fleet.liveSeenBy(p) },
+		Peer:           func(addr string) peerv1.PeerServiceClient { return &link{fleet: n.fleet, from: p, to: addr} },
+		Now:            func() time.Time { p.block(n.fleet); return time.Now().Add(n.skew) },
+		Random:         n.fleet.float,
+		Window:         2 * time.Minute,
+		IsolationLimit: 5 * time.Minute,
+		OnViolation:    n.fleet.observer.violation,
+	}
+	if n.fleet.config != nil {
+		n.fleet.config(&config)
+	}
+	p.manager = NewManager(config)
+	n.fleet.mu.Lock()
+	n.process = p
+	n.fleet.mu.Unlock()
+	go p.manager.Run(ctx)
+}
+
+func (n *node) crash() {
+	n.fleet.mu.Lock()
+	p := n.process
+	if p == nil || p.dead {
+		n.fleet.mu.Unlock()
+		return
+	}
+	p.dead = true
+	n.fleet.mu.Unlock()
+	p.cancel()
+	n.unpause()
+}
+
+func (n *node) pause() {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if !n.dead && n.resume == nil {
+		n.resume = make(chan struct{})
+	}
+}
+
+func (n *node) unpause() {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.resume != nil {
+		close(n.resume)
+		n.resume = nil
+	}
+}
+
+func (n *node) running() bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.process != nil && !n.dead && n.resume == nil
+}
+
+// leave is a graceful shutdown: Leave, some time to serve, and the end.
+func (n *node) leave(serve time.Duration) error {
+	n.fleet.mu.Lock()
+	p := n.process
+	p.leaving = true
+	n.fleet.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.fleet.ctx, 3*time.Second)
+	defer cancel()
+	err := p.manager.Leave(ctx)
+	time.Sleep(serve)
+	n.fleet.mu.Lock()
+	current := n.process == p
+	n.fleet.mu.Unlock()
+	if current {
+		n.crash()
+	}
+	return err
+}
+
+// block holds a paused process until it is resumed or killed.
+func (p *process) block(f *fleet) {
+	f.mu.Lock()
+	resume := p.resume
+	f.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+}
+
+func (p *process) isDead(f *fleet) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return p.dead
+}
+
+// runMembership has every process see those that it reaches both ways.
+func (f *fleet) runMembership() {
+	for f.ctx.Err() == nil {
+		f.mu.Lock()
+		for _, a := range f.nodes {
+			for _, b := range f.nodes {
+				f.see(a, b)
+			}
+		}
+		f.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (f *fleet) see(a, b *node) {
+	if a == b || a.process == nil || b.process == nil || a.dead || b.dead || a.resume != nil || b.resume != nil {
+		return
+	}
+	if f.cut[[2]string{a.addr, b.addr}] || f.cut[[2]string{b.addr, a.addr}] {
+		return
+	}
+	for id := range a.seen {
+		if id.ID == b.id && id != b.member.Identity || id == b.member.Identity && b.leaving {
+			delete(a.seen, id)
+		}
+	}
+	if !b.leaving {
+		a.seen[b.member.Identity] = seenMember{b.member, time.Now()}
+	}
+}
+
+func (f *fleet) liveSeenBy(p *process) []*peerv1.OwnerMember {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var live []*peerv1.OwnerMember
+	for _, s := range p.seen {
+		if time.Since(s.at) < detection {
+			live = append(live, s.member.toProto())
+		}
+	}
+	return live
+}
+
+// nodeStore is the platform as one process reaches it.
+type nodeStore struct {
+	platform.Store
+	fleet   *fleet
+	process *process
+}
+
+func (s *nodeStore) before() error {
+	s.process.block(s.fleet)
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if s.process.dead || s.process.cutPlatform {
+		return errNotSent
+	}
+	return nil
+}
+
+func (s *nodeStore) after(err error) error {
+	if s.before() != nil {
+		return errCut
+	}
+	return err
+}
+
+// Get implements platform.Store.
+func (s *nodeStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.before(); err != nil {
+		return platform.Object{}, err
+	}
+	o, err := s.fleet.store.Get(ctx, key)
+	return o, s.after(err)
+}
+
+// Update implements platform.Store.
+func (s *nodeStore) Update(ctx context.Context, key string, ifVersion int64, value []byte) (platform.Object, error) {
+	if err := s.before(); err != nil {
+		return platform.Object{}, err
+	}
+	value = s.fleet.sabotage.store(value)
+	o, err := s.fleet.store.Update(ctx, key, ifVersion, value)
+	return o, s.after(err)
+}
--- a/internal/idempotency/leaver.go
+++ b/internal/idempotency/leaver.go
@@ -20,8 +20,10 @@
 	m.mu.Lock()
 	m.leaving = true
 	m.mu.Unlock()
-	m.maintenance.Lock()
-	defer m.maintenance.Unlock()
+	if !m.beginMaintenance(ctx) {
+		return m.openWriteError()
+	}
+	defer m.endMaintenance()
 	for m.isMember() {
 		if !m.settleOpen(ctx) {
 			return m.openWriteError()
--- a/internal/idempotency/manager.go
+++ b/internal/idempotency/manager.go
@@ -19,8 +19,8 @@
 	config Config
 	editor *platform.Editor
 	wake   chan struct{}
-	// maintenance is held while the record is read or written.
-	maintenance sync.Mutex
+	// maintenance holds a token while nobody reads or writes the record.
+	maintenance chan struct{}
 
 	mu      sync.Mutex
 	core    *core
@@ -49,9 +49,10 @@
 func NewManager(c Config) *Manager {
 	c = c.withDefaults()
 	m := &Manager{
-		config: c,
-		editor: &platform.Editor{Store: c.Store, WriteID: writeIDOf},
-		wake:   make(chan struct{}, 1),
+		config:      c,
+		editor:      &platform.Editor{Store: c.Store, WriteID: writeIDOf},
+		wake:        make(chan struct{}, 1),
+		maintenance: make(chan struct{}, 1),
 		core: newCore(coreConfig{
 			self: c.Self, window: c.Window, isolation: c.IsolationLimit, maxKeys: c.MaxKeys,
 		}),
@@ -60,6 +61,7 @@
 		reports: newReportQueue(c.MaxReports),
 	}
 	m.provable = m.now()
+	m.maintenance <- struct{}{}
 	return m
 }
 
--- /dev/null
+++ b/internal/idempotency/observer_test.go
@@ -0,0 +1,63 @@
+package idempotency
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/google/uuid"
+)
+
+// observer sees every execution in the fleet and keeps the first broken
+// promise.
+type observer struct {
+	mu sync.Mutex
+	// holders holds the attempt that ran or may run for each key.
+	holders  map[uuid.UUID]string
+	executed int
+	refused  map[string]int
+	failure  error
+}
+
+func newObserver() *observer {
+	return &observer{holders: make(map[uuid.UUID]string), refused: make(map[string]int)}
+}
+
+// permitted is called when an attempt may run from now on.
+func (o *observer) permitted(key uuid.UUID, by string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if other, held := o.holders[key]; held && o.failure == nil {
+		o.failure = fmt.Errorf("key %s (issued %d) was given to %s while %s had it", key, issuedAt(key), by, other)
+	}
+	o.holders[key] = by
+	o.executed++
+}
+
+// released is called when a permitted attempt was not run.
+func (o *observer) released(key uuid.UUID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.holders, key)
+	o.executed--
+}
+
+func (o *observer) refuse(code string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refused[code]++
+}
+
+// violation takes an invariant that a Manager found broken.
+func (o *observer) violation(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failure == nil {
+		o.failure = err
+	}
+}
+
+func (o *observer) failed() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.failure
+}
--- /dev/null
+++ b/internal/idempotency/random_test.go
@@ -0,0 +1,336 @@
+package idempotency
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+const (
+	defaultSeeds = 6
+	defaultSteps = 120
+	// keyPeriod is how often a new key is issued.
+	keyPeriod = 100 * time.Millisecond
+	// recoveryBound is how long after the last fault new keys are granted at every
+	// node: the longest wait for a platform that failed (30 s), the removal of
+	// dead members by a minority (15 s), and two changes of epoch.
+	recoveryBound = 90 * time.Second
+)
+
+// Guards against a key that runs twice under any combination of faults, and
+// against an ownership that does not come back after them. SEED and STEPS run
+// one long round.
+func TestRandomFaults(t *testing.T) {
+	steps := envInt("STEPS", defaultSteps)
+	if seed := envInt("SEED", 0); seed != 0 {
+		runSeed(t, uint64(seed), steps)
+		return
+	}
+	for seed := range defaultSeeds {
+		runSeed(t, uint64(seed+1), steps)
+	}
+}
+
+func envInt(name string, otherwise int) int {
+	n, err := strconv.Atoi(os.Getenv(name))
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+func runSeed(t *testing.T, seed uint64, steps int) {
+	t.Run("seed="+strconv.FormatUint(seed, 10), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, seed, 2+int(seed%4))
+			defer f.close()
+			f.skewClocks(time.Second)
+			f.startAll()
+			f.runFaults(steps)
+			assert.NilError(t, f.observer.failed())
+			f.heal()
+			f.awaitRecovery(recoveryBound)
+			assert.NilError(t, f.observer.failed())
+			t.Logf("executed %d keys; refused %v; platform %+v", f.observer.executed, f.observer.refused, f.store.Counts())
+		})
+	})
+}
+
+// runFaults injects one fault after another while keys are issued.
+func (f *fleet) runFaults(steps int) {
+	ctx, stop := context.WithCancel(f.ctx)
+	defer stop()
+	go f.issueKeys(ctx)
+	time.Sleep(15 * time.Second)
+	for step := 0; step < steps && f.observer.failed() == nil; step++ {
+		f.fault()
+		time.Sleep(f.duration(5 * time.Second))
+	}
+}
+
+func (f *fleet) skewClocks(limit time.Duration) {
+	for _, n := range f.nodes {
+		n.skew = f.duration(2*limit) - limit
+	}
+}
+
+type faultKind int
+
+const (
+	restartLater faultKind = iota
+	restartAtOnce
+	paused
+	isolated
+	oneWay
+	platformFaulty
+	platformCut
+	leaves
+	lossy
+	allCrash
+	faultKinds
+)
+
+func (f *fleet) fault() {
+	n := f.nodes[f.intn(len(f.nodes))]
+	switch faultKind(f.intn(int(faultKinds))) {
+	case restartLater:
+		n.crash()
+		go f.later(20*time.Second, n.restart)
+	case restartAtOnce:
+		n.crash()
+		n.restart()
+	case paused:
+		n.pause()
+		go f.later(30*time.Second, n.unpause)
+	case isolated:
+		f.isolate(n, true)
+		go f.later(30*time.Second, func() { f.isolate(n, false) })
+	case oneWay:
+		other := f.nodes[f.intn(len(f.nodes))]
+		f.setCut(n, other, true)
+		go f.later(20*time.Second, func() { f.setCut(n, other, false) })
+	case platformFaulty:
+		f.store.SetFaults(f.platformFaults())
+		go f.later(40*time.Second, func() { f.store.SetFaults(platformtest.Faults{}) })
+	case platformCut:
+		f.cutPlatform(n, true)
+		go f.later(40*time.Second, func() { f.cutPlatform(n, false) })
+	case leaves:
+		go func() {
+			if n.running() {
+				_ = n.leave(f.duration(5 * time.Second))
+				f.later(10*time.Second, n.restart)
+			}
+		}()
+	case lossy:
+		f.setRates(f.float()*0.3, f.float()*0.3, time.Second)
+		go f.later(20*time.Second, func() { f.setRates(0, 0, 2*time.Millisecond) })
+	case allCrash:
+		if f.intn(10) == 0 {
+			f.crashAll()
+		}
+	}
+}
+
+func (f *fleet) crashAll() {
+	for _, n := range f.nodes {
+		n.crash()
+		go f.later(5*time.Second, n.restart)
+	}
+}
+
+func (f *fleet) platformFaults() platformtest.Faults {
+	faults := platformtest.Faults{DelayMs: f.intn(500), LostAnswerShare: f.float(), LateWriteShare: f.float() / 2, LateWriteMs: f.intn(15000)}
+	if f.intn(2) == 0 {
+		faults.Outage = true
+	}
+	if f.intn(4) == 0 {
+		faults.WritesPerSecond = f.float()
+	}
+	if f.intn(4) == 0 {
+		faults.GarbageShare = f.float()
+	}
+	return faults
+}
+
+// later runs fn after a random time unless the faults have ended by then.
+func (f *fleet) later(limit time.Duration, fn func()) {
+	time.Sleep(f.duration(limit))
+	f.mu.Lock()
+	over := f.healed
+	f.mu.Unlock()
+	if f.ctx.Err() == nil && !over {
+		fn()
+	}
+}
+
+func (n *node) restart() {
+	n.fleet.mu.Lock()
+	idle := n.process == nil || n.dead
+	n.fleet.mu.Unlock()
+	if idle {
+		n.start()
+	}
+}
+
+func (f *fleet) setCut(a, b *node, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{a.addr, b.addr}] = cut
+}
+
+func (f *fleet) isolate(n *node, cut bool) {
+	for _, other := range f.nodes {
+		if other != n {
+			f.setCut(n, other, cut)
+			f.setCut(other, n, cut)
+		}
+	}
+}
+
+func (f *fleet) cutPlatform(n *node, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n.process != nil {
+		n.cutPlatform = cut
+	}
+}
+
+func (f *fleet) setRates(loss, dup float64, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loss, f.dup, f.delay = loss, dup, delay
+}
+
+// heal ends all faults.
+func (f *fleet) heal() {
+	f.mu.Lock()
+	f.healed = true
+	f.mu.Unlock()
+	f.store.SetFaults(platformtest.Faults{})
+	f.setRates(0, 0, 2*time.Millisecond)
+	for _, n := range f.nodes {
+		f.isolate(n, false)
+		f.cutPlatform(n, false)
+		n.unpause()
+		if n.isLeaving() {
+			n.crash()
+		}
+		n.restart()
+	}
+}
+
+func (n *node) isLeaving() bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.leaving
+}
+
+// awaitRecovery fails unless new keys are granted at every node in time.
+func (f *fleet) awaitRecovery(bound time.Duration) {
+	f.t.Helper()
+	start := time.Now()
+	for !f.allGrant() {
+		if time.Since(start) > bound {
+			f.t.Fatalf("new keys are refused %s after the last fault: %v", bound, f.describe())
+		}
+		time.Sleep(time.Second)
+	}
+	f.t.Logf("recovered %s after the last fault", time.Since(start))
+}
+
+// allGrant tries a few new keys at every node.
+func (f *fleet) allGrant() bool {
+	for _, n := range f.nodes {
+		for range 10 {
+			if f.tryKey(n, f.newKey(0)) != nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (f *fleet) tryKey(n *node, key uuid.UUID) error {
+	ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
+	defer cancel()
+	return n.manager.Acquire(ctx, testService, key, uuid.New())
+}
+
+func (f *fleet) describe() []Stats {
+	var all []Stats
+	for _, n := range f.nodes {
+		all = append(all, n.manager.Stats())
+	}
+	return all
+}
+
+// issueKeys starts a few attempts at random nodes for each new key.
+func (f *fleet) issueKeys(ctx context.Context) {
+	for ctx.Err() == nil {
+		key := f.newKey(f.duration(4*time.Second) - 2*time.Second)
+		if f.intn(10) == 0 {
+			key = f.newKey(f.duration(20*time.Second) - 10*time.Second)
+		}
+		for range 1 + f.intn(4) {
+			go f.attemptLater(ctx, key)
+		}
+		for _, n := range f.nodes {
+			if n.running() {
+				f.sabotage.tamper(n.manager)
+			}
+		}
+		time.Sleep(keyPeriod)
+	}
+}
+
+func (f *fleet) attemptLater(ctx context.Context, key uuid.UUID) {
+	wait := f.duration(3 * time.Second)
+	if f.intn(4) == 0 {
+		wait = f.duration(time.Minute)
+	}
+	time.Sleep(wait)
+	n := f.nodes[f.intn(len(f.nodes))]
+	if ctx.Err() == nil && n.running() {
+		f.attempt(n, key)
+	}
+}
+
+// attempt acquires a key at a node, runs it, and reports its end.
+func (f *fleet) attempt(n *node, key uuid.UUID) {
+	f.mu.Lock()
+	p := n.process
+	f.mu.Unlock()
+	attempt := uuid.New()
+	ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
+	defer cancel()
+	err := p.manager.Acquire(ctx, testService, key, attempt)
+	p.block(f)
+	if err != nil {
+		f.observer.refuse(resultcode.From(err).Code.String())
+		return
+	}
+	if p.isDead(f) {
+		return
+	}
+	f.observer.permitted(key, p.member.ID+" "+attempt.String())
+	time.Sleep(f.duration(2 * time.Second))
+	p.block(f)
+	if p.isDead(f) {
+		return
+	}
+	run := []resultcode.Execution{resultcode.NotRun, resultcode.Run, resultcode.Unknown, resultcode.Run}[f.intn(4)]
+	if run == resultcode.NotRun {
+		f.observer.released(key)
+	}
+	p.manager.Complete(f.ctx, testService, key, attempt, run, 200)
+}
--- /dev/null
+++ b/internal/idempotency/sabotage_test.go
@@ -0,0 +1,163 @@
+package idempotency
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+)
+
+// sabotage switches a mechanism off, so that a test shows that it is needed.
+type sabotage struct {
+	// longLeases has receivers take leases for longer than the sender promised.
+	longLeases bool
+	// earlyStart writes epochs that start right after the former one.
+	earlyStart bool
+	// forgetFloor has owners forget keys without raising the floor.
+	forgetFloor bool
+	// forgetProposal has writers take an unresolved write for one without effect.
+	forgetProposal bool
+	// forgetSent has writers take a later attempt that was not sent as proof that
+	// an earlier one had no effect.
+	forgetSent bool
+}
+
+func (s sabotage) lease(r *peerv1.RenewLeaseRequest) {
+	if s.longLeases {
+		r.UntilUnixMs += 60_000
+	}
+}
+
+func (s sabotage) store(value []byte) []byte {
+	if !s.earlyStart {
+		return value
+	}
+	r, err := decodeRecord(testService, 0, value)
+	if err != nil || len(r.Epochs) < 2 {
+		return value
+	}
+	r.Epochs[0].Start = r.Epochs[1].Start + 1
+	value, _ = encodeRecord(r)
+	return value
+}
+
+// tamper is called often for every running process.
+func (s sabotage) tamper(m *Manager) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s.forgetFloor {
+		for len(m.core.keys.order) > 20 {
+			m.core.keys.evictOldest()
+		}
+		m.core.keys.floor = 0
+	}
+	if p := m.core.proposal; s.forgetSent && p != nil {
+		p.sent = false
+	}
+	if p := m.core.proposal; s.forgetProposal && p != nil && p.sent {
+		m.core.proposal = nil
+	}
+}
+
+// sabotageSeeds bounds the seeds tried until a failure shows.
+const sabotageSeeds = 20
+
+// Guards against a randomised run that would not notice a missing mechanism:
+// with each one off, some seed must run a key twice.
+func TestRandomFaultsNoticeSabotage(t *testing.T) {
+	for name, test := range map[string]struct {
+		sabotage sabotage
+		faults   func(*fleet)
+	}{
+		"leases ignored":           {sabotage{longLeases: true}, randomFaults},
+		"epoch start not kept":     {sabotage{earlyStart: true}, randomFaults},
+		"floor not kept":           {sabotage{forgetFloor: true}, randomFaults},
+		"open proposal not capped": {sabotage{forgetProposal: true}, lateWrite},
+		"earlier attempt ignored":  {sabotage{forgetSent: true}, lateWriteThenCut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var failure error
+			seed := uint64(0)
+			for failure == nil && seed < sabotageSeeds {
+				seed++
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, seed, 2+int(seed%4))
+					defer f.close()
+					f.sabotage = test.sabotage
+					// Only executions count here, not the owners' own checks.
+					f.config = func(c *Config) { c.OnViolation = nil }
+					f.skewClocks(time.Second)
+					test.faults(f)
+					failure = f.observer.failed()
+				})
+			}
+			assert.Assert(t, failure != nil, "no failure in %d seeds", sabotageSeeds)
+			t.Logf("seed %d: %v", seed, failure)
+		})
+	}
+}
+
+func randomFaults(f *fleet) {
+	f.startAll()
+	f.runFaults(defaultSteps)
+}
+
+// Guards against a writer that goes on granting while its own write, which was
+// read back as without effect, is still on its way.
+func TestLateWrites(t *testing.T) {
+	for name, faults := range map[string]func(*fleet){"answered": lateWrite, "then cut": lateWriteThenCut} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3, 3)
+				defer f.close()
+				faults(f)
+				assert.NilError(t, f.observer.failed())
+				assert.Assert(t, f.observer.executed > 200, "%d", f.observer.executed)
+				f.awaitRecovery(recoveryBound)
+			})
+		})
+	}
+}
+
+// lateWrite has the change that adds a third member take effect 12 s after it
+// was sent and seven seconds after its start.
+func lateWrite(f *fleet) {
+	f.lateJoin(func() {})
+}
+
+// lateWriteThenCut also cuts off the platform, so that the writer's second
+// attempt is known to be without effect.
+func lateWriteThenCut(f *fleet) {
+	f.lateJoin(func() {
+		for _, n := range f.nodes {
+			f.cutPlatform(n, true)
+		}
+	})
+}
+
+func (f *fleet) lateJoin(afterFirstWrite func()) {
+	f.nodes[0].start()
+	f.nodes[1].start()
+	ctx, stop := context.WithCancel(f.ctx)
+	defer stop()
+	go f.issueKeys(ctx)
+	time.Sleep(30 * time.Second)
+	before := f.store.Counts().Updates
+	f.store.SetFaults(platformtest.Faults{LateWriteShare: 1, LateWriteMs: 12_000})
+	f.nodes[2].start()
+	for f.store.Counts().Updates == before {
+		time.Sleep(10 * time.Millisecond)
+	}
+	afterFirstWrite()
+	time.Sleep(15 * time.Second)
+	f.store.SetFaults(platformtest.Faults{})
+	for _, n := range f.nodes {
+		f.cutPlatform(n, false)
+	}
+	time.Sleep(time.Minute)
+}
--- a/internal/idempotency/writer.go
+++ b/internal/idempotency/writer.go
@@ -21,8 +21,10 @@
 // maintain makes at most one step towards the record that the live members
 // call for.
 func (m *Manager) maintain(ctx context.Context) {
-	m.maintenance.Lock()
-	defer m.maintenance.Unlock()
+	if !m.beginMaintenance(ctx) {
+		return
+	}
+	defer m.endMaintenance()
 	if p := m.openProposal(); p != nil {
 		if m.platformReady() {
 			m.attempt(ctx, p)
@@ -42,6 +44,21 @@
 	m.writeChange(ctx)
 }
 
+// beginMaintenance waits until nobody else reads or writes the record; it is
+// false when ctx ends first.
+func (m *Manager) beginMaintenance(ctx context.Context) bool {
+	select {
+	case <-m.maintenance:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (m *Manager) endMaintenance() {
+	m.maintenance <- struct{}{}
+}
+
 func (m *Manager) platformReady() bool {
 	now := m.now()
 	m.mu.Lock()
