--- a/internal/idempotency/random_test.go
+++ b/internal/idempotency/random_test.go
@@ -182,6 +182,21 @@
 	}
 }
 
+// addNode starts a process at a new address.
+func (f *fleet) addNode() {
+	n := &node{fleet: f, id: "added", addr: "added"}
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	n.start()
+}
+
+func (f *fleet) leaveFirst() {
+	if err := f.nodes[0].leave(10 * time.Second); err != nil {
+		f.observer.violation(err)
+	}
+}
+
 func (f *fleet) setCut(a, b *node, cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/idempotency/rows_test.go
@@ -0,0 +1,235 @@
+package idempotency
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+)
+
+// probes records which new keys were refused, by the time since the fault.
+type probes struct {
+	fleet  *fleet
+	start  time.Time
+	mu     sync.Mutex
+	tried  int
+	last   time.Duration
+	failed int
+}
+
+// probe issues a key every 20 ms for a time, each tried once at one of the nodes.
+func (f *fleet) probe(d time.Duration, nodes ...int) *probes {
+	p := &probes{fleet: f, start: time.Now()}
+	var group sync.WaitGroup
+	for i := 0; time.Since(p.start) < d; i++ {
+		n := f.nodes[nodes[i%len(nodes)]]
+		group.Go(func() { p.try(n) })
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	return p
+}
+
+func (p *probes) try(n *node) {
+	issued := time.Since(p.start)
+	err := p.fleet.tryKey(n, p.fleet.newKey(0))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tried++
+	if err != nil {
+		p.failed++
+		p.last = max(p.last, issued)
+	}
+}
+
+// Guards against a fault that refuses new non-idempotent calls for longer than
+// docs/ownership.md states. Each row runs four members; the first is the one
+// that fails.
+func TestRefusedTimes(t *testing.T) {
+	outage := platformtest.Faults{Outage: true}
+	for _, row := range []struct {
+		name string
+		// fault starts the fault; probes follow at once at the other three nodes.
+		fault func(*fleet)
+		// bound is when the last refused key may be issued; zero means that none
+		// is refused.
+		bound time.Duration
+	}{
+		{"platform away", func(f *fleet) { f.store.SetFaults(outage) }, 0},
+		{"answers lost", func(f *fleet) { f.store.SetFaults(platformtest.Faults{LostAnswerShare: 1}) }, 0},
+		{"join", func(f *fleet) { f.addNode() }, 0},
+		{"graceful leave", func(f *fleet) { go f.leaveFirst() }, 0},
+		{"crash", func(f *fleet) { f.nodes[0].crash() }, 9 * time.Second},
+		{"crash and restart", func(f *fleet) { f.nodes[0].crash(); f.nodes[0].restart() }, 9 * time.Second},
+		{"crash, write answers lost", func(f *fleet) {
+			f.store.SetFaults(platformtest.Faults{LostAnswerShare: 1})
+			f.nodes[0].crash()
+		}, 9 * time.Second},
+		{"crash, late writes", func(f *fleet) {
+			f.store.SetFaults(platformtest.Faults{LateWriteShare: 1, LateWriteMs: 2000})
+			f.nodes[0].crash()
+		}, 13 * time.Second},
+		{"pause", func(f *fleet) {
+			f.nodes[0].pause()
+			go f.later(0, func() { time.Sleep(40 * time.Second); f.nodes[0].unpause() })
+		}, 9 * time.Second},
+		{"partition", func(f *fleet) { f.isolate(f.nodes[0], true) }, 9 * time.Second},
+		{"crash, platform away for 30 s", func(f *fleet) {
+			f.store.SetFaults(outage)
+			f.nodes[0].crash()
+			go func() { time.Sleep(30 * time.Second); f.store.SetFaults(platformtest.Faults{}) }()
+		}, 37 * time.Second},
+		{"join, platform fails during the write, back after 30 s", func(f *fleet) {
+			f.store.SetFaults(platformtest.Faults{LateWriteShare: 1, LateWriteMs: 20_000})
+			before := f.store.Counts().Updates
+			f.addNode()
+			go func() {
+				for f.store.Counts().Updates == before {
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.store.SetFaults(outage)
+				time.Sleep(30 * time.Second)
+				f.store.SetFaults(platformtest.Faults{})
+			}()
+		}, 37 * time.Second},
+		{"all crash, replaced in place", func(f *fleet) {
+			for _, n := range f.nodes {
+				n.crash()
+				n.restart()
+			}
+		}, 16 * time.Second},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 7, 4)
+				defer f.close()
+				f.skewClocks(500 * time.Millisecond)
+				f.startAll()
+				time.Sleep(30 * time.Second)
+				row.fault(f)
+				p := f.probe(2*time.Minute, 1, 2, 3)
+				t.Logf("%d of %d keys refused, the last one issued %s after the fault", p.failed, p.tried, p.last)
+				assert.Assert(t, p.last <= row.bound, "a key issued after %s was refused; the bound is %s", p.last, row.bound)
+			})
+		})
+	}
+}
+
+// Guards against a member that grants keys while it is cut off from the others,
+// or that does not join again afterwards.
+func TestPartitionedMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 4)
+		defer f.close()
+		f.startAll()
+		time.Sleep(30 * time.Second)
+		f.isolate(f.nodes[0], true)
+		time.Sleep(LeaseTime)
+		p := f.probe(time.Minute, 0)
+		assert.Equal(t, p.failed, p.tried)
+		f.isolate(f.nodes[0], false)
+		p = f.probe(2*time.Minute, 0)
+		t.Logf("last refused key issued %s after the partition healed", p.last)
+		assert.Assert(t, p.last <= 30*time.Second, "%s", p.last)
+	})
+}
+
+// Guards against a member whose leave while the platform is away stops the keys
+// of the others, and against keys of its own that stay refused afterwards.
+func TestLeaveWhilePlatformIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 4)
+		defer f.close()
+		f.startAll()
+		time.Sleep(30 * time.Second)
+		f.store.SetFaults(platformtest.Faults{Outage: true})
+		assert.NilError(t, f.nodes[0].leave(0))
+		leaver := f.nodes[0].member.Identity
+		for range 3000 {
+			key := f.newKey(0)
+			owner, _ := f.nodes[1].manager.core.record.Newest().Owner(key)
+			err := f.tryKey(f.nodes[1], key)
+			assert.Equal(t, err != nil, owner.Identity == leaver, "owner %s: %v", owner.ID, err)
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.store.SetFaults(platformtest.Faults{})
+		p := f.probe(time.Minute, 1, 2, 3)
+		t.Logf("last refused key issued %s after the platform was back", p.last)
+		assert.Assert(t, p.last <= 7*time.Second, "%s", p.last)
+	})
+}
+
+// Guards against members that outlive valid_until, and against an ownership
+// that does not come back after the platform was away for hours.
+func TestPlatformAwayForHours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 3)
+		defer f.close()
+		f.config = func(c *Config) { c.IsolationLimit = time.Hour }
+		f.startAll()
+		time.Sleep(30 * time.Second)
+		f.store.SetFaults(platformtest.Faults{Outage: true})
+		time.Sleep(50 * time.Minute)
+		p := f.probe(time.Minute, 0, 1, 2)
+		assert.Equal(t, p.failed, 0)
+		time.Sleep(3 * time.Hour)
+		assert.Assert(t, f.tryKey(f.nodes[0], f.newKey(0)) != nil)
+		f.store.SetFaults(platformtest.Faults{})
+		f.awaitRecovery(recoveryBound)
+	})
+}
+
+// Guards against a takeover before valid_until by a process that cannot prove
+// that the members are dead, and against one that never comes.
+func TestReplacedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 4)
+		defer f.close()
+		f.nodes[0].start()
+		f.nodes[1].start()
+		time.Sleep(30 * time.Second)
+		validUntil := f.nodes[0].manager.core.record.ValidUntil
+		f.nodes[0].crash()
+		f.nodes[1].crash()
+		f.nodes[2].start()
+		f.nodes[3].start()
+		for time.Now().UnixMilli() < validUntil {
+			assert.Assert(t, f.tryKey(f.nodes[2], f.newKey(0)) != nil)
+			time.Sleep(time.Second)
+		}
+		p := f.probe(2*time.Minute, 2, 3)
+		t.Logf("last refused key issued %s after valid_until", p.last)
+		assert.Assert(t, p.last <= 40*time.Second, "%s", p.last)
+	})
+}
+
+// Guards against calls to the platform that grow with the number of requests.
+func TestPlatformCallsDoNotGrowWithRequests(t *testing.T) {
+	calls := func(keys int) int64 {
+		var total int64
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 7, 3)
+			defer f.close()
+			f.startAll()
+			time.Sleep(30 * time.Second)
+			before := f.store.Counts()
+			start := time.Now()
+			for range keys {
+				f.attempt(f.nodes[f.intn(3)], f.newKey(0))
+			}
+			time.Sleep(time.Hour - time.Since(start))
+			after := f.store.Counts()
+			total = after.Reads() + after.Writes() - before.Reads() - before.Writes()
+		})
+		return total
+	}
+	few, many := calls(10), calls(1000)
+	t.Logf("platform calls of three members in an hour: %d with 10 requests, %d with 1000", few, many)
+	assert.Equal(t, few, many)
+	// One extension each isolation_limit/4, which is 75 s here.
+	assert.Assert(t, few <= 50, "%d", few)
+}
