Command-line client: edits that lose nothing, explain, history, status, wait

Cause: operators edit settings and read reports and do nothing else, so each decision must survive racing edits, lost answers and an unreadable platform, and say afterwards who made it and why.

Change: internal/client with the commands get, set, unset, apply, diff, check, history, explain, status, wait and codes, each as text and JSON with the exit status of the result code table; cmd/mustardwing connects it to the platform's HTTP client. Edits start again from the present object when somebody changed other fields and fail with 402 and both versions when an edited field changed. A write carries a write id, found also below 15 later writes; the same write is tried again while its outcome is open. internal/client defines the form of status/<domain> that it reads.

--- /dev/null
+++ b/cmd/mustardwing/main.go
@@ -0,0 +1,77 @@
+// Command mustardwing is the command-line client that operators use to read and
+// edit the settings of a fleet and to see what its nodes report.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/client"
+	"github.com/mustardwing/mustardwing/internal/platform"
+)
+
+const (
+	// callTimeout bounds one call to the platform; -timeout bounds the command.
+	callTimeout = 5 * time.Second
+	// watchPoll is how long the platform is asked to hold a watch.
+	watchPoll = 5 * time.Second
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &client.App{
+		Stdout:     os.Stdout,
+		Stderr:     os.Stderr,
+		Getenv:     os.Getenv,
+		Dial:       dial,
+		ReadFile:   readFile,
+		User:       userName(),
+		Now:        time.Now,
+		NewWriteID: client.NewWriteID,
+	}
+	return app.Run(ctx, os.Args[1:])
+}
+
+func dial(url string) platform.Store {
+	return platform.NewClient(platform.ClientConfig{URL: url, Timeout: callTimeout, Poll: watchPoll})
+}
+
+func readFile(path string, limit int64) ([]byte, error) {
+	file := os.Stdin
+	if path != "-" {
+		var err error
+		file, err = os.Open(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "open")
+		}
+		defer file.Close()
+	}
+	data, err := io.ReadAll(io.LimitReader(file, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = fmt.Errorf("more than %d bytes", limit)
+	}
+	return data, err
+}
+
+// userName is empty when the system does not know the user; -by is mandatory
+// then.
+func userName() string {
+	current, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return current.Username
+}
--- /dev/null
+++ b/internal/client/app.go
@@ -0,0 +1,144 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// PlatformVariable names the environment variable with the platform's address.
+const PlatformVariable = "MUSTARDWING_PLATFORM"
+
+// App is the command-line program with what it takes from its surroundings.
+type App struct {
+	Stdout, Stderr io.Writer
+	Getenv         func(string) string
+	// Dial returns the store at an http or https URL; it makes no call yet.
+	Dial func(url string) platform.Store
+	// ReadFile returns a file's content, at most limit bytes and otherwise an
+	// error; "-" is the standard input.
+	ReadFile func(path string, limit int64) ([]byte, error)
+	// User is who runs the program, the default of -by.
+	User       string
+	Now        func() time.Time
+	NewWriteID func() string
+}
+
+// output is a command's result, which encoding/json shows to programs.
+type output interface {
+	// text writes the result for people.
+	text(w io.Writer)
+}
+
+// Run carries out one command line without the program's name and returns the
+// exit status of the result code table.
+func (a *App) Run(ctx context.Context, args []string) (status int) {
+	asJSON := false
+	defer func() {
+		if fault := recover(); fault != nil {
+			status = a.fail(resultcode.New(resultcode.Internal, "%v; this is a fault of the program, please report it with the command line", fault), asJSON)
+		}
+	}()
+	if len(args) == 0 || isHelp(args[0]) {
+		a.printUsage(a.Stdout)
+		return exitStatus(resultcode.OK)
+	}
+	cmd, ok := findCommand(args[0])
+	if !ok {
+		return a.fail(resultcode.New(resultcode.Usage, "command %q: want one of %s; -h explains them", args[0], commandNames()), false)
+	}
+	inv, err := a.parse(cmd, args[1:])
+	if errors.Is(err, errHelp) {
+		cmd.printUsage(a.Stdout)
+		return exitStatus(resultcode.OK)
+	}
+	asJSON = inv.options.json()
+	if err != nil {
+		return a.fail(err, asJSON)
+	}
+	ctx, cancel := context.WithTimeout(ctx, inv.options.timeout)
+	defer cancel()
+	result, err := cmd.run(ctx, inv)
+	if err != nil {
+		return a.fail(err, asJSON)
+	}
+	a.show(result, asJSON)
+	return exitStatus(resultcode.OK)
+}
+
+func isHelp(arg string) bool {
+	return arg == "-h" || arg == "-help" || arg == "--help" || arg == "help"
+}
+
+// store connects to the platform named on the command line or in the
+// environment.
+func (a *App) store(address string) (platform.Store, error) {
+	source := "-platform"
+	if address == "" {
+		address, source = a.Getenv(PlatformVariable), PlatformVariable
+	}
+	want := "an http or https URL such as http://127.0.0.1:8090"
+	if address == "" {
+		return nil, resultcode.New(resultcode.Usage, "no platform address: give -platform or set %s to %s", PlatformVariable, want)
+	}
+	parsed, err := url.Parse(address)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Hostname() == "" {
+		return nil, resultcode.New(resultcode.Usage, "%s %q: want %s", source, address, want)
+	}
+	return a.Dial(strings.TrimSuffix(address, "/")), nil
+}
+
+func (a *App) show(result output, asJSON bool) {
+	if asJSON {
+		writeJSON(a.Stdout, result)
+		return
+	}
+	result.text(a.Stdout)
+}
+
+// failure is the form of an error for programs.
+type failure struct {
+	Code   resultcode.Code `json:"code"`
+	Name   string          `json:"name"`
+	Detail string          `json:"detail"`
+	// Conflict and Partial are set for errors with more to show.
+	Conflict *Conflict     `json:"conflict,omitempty"`
+	Partial  *PartialError `json:"partial,omitempty"`
+}
+
+// fail prints an error and returns its exit status.
+func (a *App) fail(err error, asJSON bool) int {
+	coded := codedError(err)
+	if !asJSON {
+		fmt.Fprintf(a.Stderr, "error %d %s: %s\n", coded.Code, coded.Code, errorText(coded))
+		return exitStatus(coded.Code)
+	}
+	f := failure{Code: coded.Code, Name: coded.Code.String(), Detail: errorText(coded)}
+	errors.As(err, &f.Conflict)
+	errors.As(err, &f.Partial)
+	writeJSON(a.Stderr, struct {
+		Error failure `json:"error"`
+	}{f})
+	return exitStatus(coded.Code)
+}
+
+// codedError prefers the text of the outermost error that has one of its own.
+func codedError(err error) *resultcode.Error {
+	var partial *PartialError
+	if errors.As(err, &partial) {
+		return partial.coded()
+	}
+	return resultcode.From(err)
+}
+
+func exitStatus(code resultcode.Code) int {
+	return resultcode.Lookup(code).ExitStatus
+}
--- /dev/null
+++ b/internal/client/command.go
@@ -0,0 +1,81 @@
+package client
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// command is one subcommand.
+type command struct {
+	name string
+	// args describes the arguments.
+	args    string
+	summary string
+	// examples are complete command lines.
+	examples []string
+	// minArgs and maxArgs bound the arguments; a negative maxArgs is no bound.
+	minArgs, maxArgs int
+	// register defines the command's flags.
+	register func(f *flag.FlagSet, o *options, user string)
+	run      func(ctx context.Context, inv *invocation) (output, error)
+}
+
+func commands() []command {
+	return []command{
+		getCommand(), setCommand(), unsetCommand(), applyCommand(), diffCommand(), checkCommand(),
+		historyCommand(), explainCommand(), statusCommand(), waitCommand(), codesCommand(),
+	}
+}
+
+func findCommand(name string) (command, bool) {
+	for _, c := range commands() {
+		if c.name == name {
+			return c, true
+		}
+	}
+	return command{}, false
+}
+
+func commandNames() string {
+	var names []string
+	for _, c := range commands() {
+		names = append(names, c.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (a *App) printUsage(w io.Writer) {
+	fmt.Fprint(w, `mustardwing reads and edits the settings of a mustardwing fleet.
+
+Usage: mustardwing COMMAND [flags] [arguments]
+
+`)
+	t := newTable(w)
+	for _, c := range commands() {
+		t.row("  "+c.name, c.summary)
+	}
+	t.flush()
+	fmt.Fprintf(w, `
+A scope is default, region/REGION, service/SERVICE or service/SERVICE/KIND.
+The platform's address comes from -platform or %s.
+Exit status: 0 done, 2 wrong usage, 3 invalid settings, 4 conflicting edit,
+5 platform unavailable, 6 not found, 7 wait timed out, 8 unreadable answer,
+9 internal error. mustardwing codes lists all result codes.
+mustardwing COMMAND -h shows the flags of a command and examples.
+`, PlatformVariable)
+}
+
+func (c command) printUsage(w io.Writer) {
+	fmt.Fprintf(w, "mustardwing %s %s\n\n%s\n\nFlags:\n", c.name, c.args, c.summary)
+	set := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	set.SetOutput(w)
+	c.register(set, &options{}, "")
+	set.PrintDefaults()
+	fmt.Fprint(w, "\nExamples:\n")
+	for _, example := range c.examples {
+		fmt.Fprintf(w, "  %s\n", example)
+	}
+}
--- /dev/null
+++ b/internal/client/edit_test.go
@@ -0,0 +1,248 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+// Guards against two operators' edits of different fields of which one is lost.
+func TestRacingEditsOfDifferentFieldsMerge(t *testing.T) {
+	store := platformtest.New(1)
+	hooked := &hookStore{Store: store}
+	ana, ivo := newProgram(hooked), newProgram(store)
+	ana.mustRun(t, "set", "service/search", "moves=1", "-reason", "start")
+	hooked.beforeUpdate = func() {
+		ivo.mustRun(t, "set", "service/search", "hedge=false", "-reason", "ivo's")
+	}
+	stdout := ana.mustRun(t, "set", "service/search", "retries=1", "-reason", "ana's")
+	assert.Assert(t, strings.Contains(stdout, "merged with another operator's edit"), stdout)
+	view := ana.mustRun(t, "get", "service/search")
+	assert.Assert(t, strings.Contains(view, "ivo's") && strings.Contains(view, "ana's") && strings.Contains(view, "start"), view)
+}
+
+// Guards against an edit that overwrites what another operator decided about the
+// same field in the meantime, also when that was to keep the value for another
+// reason or to remove it.
+func TestRacingEditsOfOneFieldConflict(t *testing.T) {
+	for _, theirs := range [][]string{
+		{"set", "service/search", "retries=4", "-reason", "theirs"},
+		{"set", "service/search", "retries=2", "-reason", "theirs"},
+		{"unset", "service/search", "retries", "-reason", "theirs"},
+	} {
+		store := platformtest.New(1)
+		hooked := &hookStore{Store: store}
+		ana, ivo := newProgram(hooked), newProgram(store)
+		ana.mustRun(t, "set", "service/search", "retries=2", "-reason", "start")
+		hooked.beforeUpdate = func() { ivo.mustRun(t, append(theirs, "-by", "ivo")...) }
+		status, _, stderr := ana.run("set", "service/search", "retries=3", "-reason", "mine")
+		assert.Equal(t, status, 4, stderr)
+		for _, part := range []string{"error 402", "yours:  3 (ana", "mine", "theirs: ", "(ivo", "theirs)"} {
+			assert.Assert(t, strings.Contains(stderr, part), "%q in %s", part, stderr)
+		}
+		history := ana.mustRun(t, "history", "service/search")
+		assert.Assert(t, strings.Contains(history, "theirs") && !strings.Contains(history, "mine"), history)
+	}
+}
+
+// Guards against a second effect, or a reported failure, when only the answer to
+// a write was lost.
+func TestLostAnswerIsRecognised(t *testing.T) {
+	for name, faults := range map[string]platformtest.Faults{
+		"lost":    {LostAnswerShare: 1},
+		"late":    {LateWriteShare: 1, LateWriteMs: 250},
+		"delayed": {LostAnswerShare: 0.7, LateWriteShare: 0.7, LateWriteMs: 150},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store := platformtest.New(1)
+			p := newProgram(store)
+			store.SetFaults(faults)
+			stdout := p.mustRun(t, "set", "service/search", "retries=1", "-reason", "once")
+			assert.Assert(t, strings.Contains(stdout, "the answer to the write was lost"), "%s: %s", name, stdout)
+			time.Sleep(time.Minute)
+			store.SetFaults(platformtest.Faults{})
+			history := p.mustRun(t, "history", "service/search")
+			assert.Equal(t, strings.Count(history, "once"), 1, "%s: %s", name, history)
+			object, err := store.Get(context.Background(), "settings/service/search")
+			assert.NilError(t, err)
+			assert.Equal(t, object.Version, int64(1))
+		})
+	}
+}
+
+// Guards against an own effect that is not recognised because another operator
+// wrote right after it.
+func TestLostAnswerBelowLaterWrite(t *testing.T) {
+	store := platformtest.New(1)
+	ivo := newProgram(store)
+	ana := newProgram(&lostThenOvertaken{Store: store, then: func() {
+		ivo.mustRun(t, "set", "service/search", "retries=5", "-reason", "later", "-by", "ivo")
+	}})
+	stdout := ana.mustRun(t, "set", "service/search", "retries=1", "-reason", "first")
+	assert.Assert(t, strings.Contains(stdout, "the answer to the write was lost"), stdout)
+	history := ana.mustRun(t, "history", "service/search")
+	assert.Assert(t, strings.Contains(history, "first") && strings.Contains(history, "later"), history)
+}
+
+// lostThenOvertaken loses the answer to the first update after a later write.
+type lostThenOvertaken struct {
+	platform.Store
+	then func()
+}
+
+func (s *lostThenOvertaken) Update(ctx context.Context, key string, ifVersion int64, value []byte) (platform.Object, error) {
+	object, err := s.Store.Update(ctx, key, ifVersion, value)
+	if s.then == nil {
+		return object, err
+	}
+	s.then()
+	s.then = nil
+	return platform.Object{}, resultcode.New(resultcode.PlatformUnavailable, "answer lost")
+}
+
+// Guards against a write whose outcome is unknown and that is reported as
+// having failed for certain.
+func TestUnknownOutcomeIsSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(1)
+		p := newProgram(store)
+		store.SetFaults(platformtest.Faults{LateWriteShare: 1, LateWriteMs: 3_600_000})
+		status, _, stderr := p.run("set", "service/search", "retries=1", "-reason", "x")
+		assert.Equal(t, status, 5, stderr)
+		assert.Assert(t, strings.Contains(stderr, "may have taken effect or may still do so"), stderr)
+		store.SetFaults(platformtest.Faults{Outage: true})
+		status, _, stderr = p.run("set", "service/search", "retries=1", "-reason", "x")
+		assert.Equal(t, status, 5)
+		assert.Assert(t, !strings.Contains(stderr, "may have taken effect"), stderr)
+		time.Sleep(2 * time.Hour)
+	})
+}
+
+// Guards against a write although the check of another scope failed, and against
+// a partial failure that does not say what is in the store.
+func TestApplyWritesAllOrSaysWhat(t *testing.T) {
+	store := platformtest.New(1)
+	hooked := &hookStore{Store: store}
+	p, ivo := newProgram(hooked), newProgram(store)
+	p.files["bad"] = `{"reason":"r","scopes":[{"scope":"service/a","set":{"retries":1}},{"scope":"service/b","set":{"retries":99}}]}`
+	status, _, _ := p.run("apply", "bad")
+	assert.Equal(t, status, 3)
+	put(t, store, "settings/service/c", "not settings")
+	p.files["unreadable"] = `{"reason":"r","scopes":[{"scope":"service/a","set":{"retries":1}},{"scope":"service/c","set":{"retries":1}}]}`
+	status, _, stderr := p.run("apply", "unreadable")
+	assert.Equal(t, status, 3)
+	assert.Assert(t, strings.Contains(stderr, "-replace-invalid"), stderr)
+	assert.Equal(t, store.Counts().Updates, int64(1), "only the test's own write")
+
+	full := emptyScope()
+	for i := range settings.MaxKinds {
+		full.Kinds = append(full.Kinds, settings.Kind{Name: fmt.Sprintf("k%d", i), Overrides: settings.Overrides{}})
+	}
+	value, err := settings.Encode(settings.ScopeName{Level: settings.LevelService, Name: "d"}, full)
+	assert.NilError(t, err)
+	put(t, store, "settings/service/d", string(value))
+	p.files["full"] = `{"reason":"r","scopes":[{"scope":"service/a","set":{"retries":1}},{"scope":"service/d/one-more","set":{"retries":1}}]}`
+	status, _, stderr = p.run("apply", "full")
+	assert.Equal(t, status, 3)
+	assert.Assert(t, strings.Contains(stderr, "at most 256"), stderr)
+	assert.Equal(t, store.Counts().Updates, int64(2), "only the test's own writes")
+
+	p.files["good"] = `{"reason":"r","scopes":[{"scope":"service/a","set":{"retries":1}},{"scope":"service/b","set":{"retries":2}}]}`
+	hooked.beforeUpdate = func() { ivo.mustRun(t, "set", "service/b", "retries=3", "-reason", "theirs") }
+	status, _, stderr = p.run("apply", "good")
+	assert.Equal(t, status, 4)
+	assert.Assert(t, strings.Contains(stderr, "written: service/a at revision"), stderr)
+	assert.Assert(t, strings.Contains(stderr, "not written: service/b"), stderr)
+	p.mustRun(t, "apply", "good")
+	assert.Assert(t, strings.Contains(p.mustRun(t, "apply", "good"), "2 changes were in force already"))
+	p.mustRun(t, "apply", "unreadable", "-replace-invalid")
+	p.mustRun(t, "check")
+}
+
+// Guards against an answer that cannot be read and shows as anything but its own
+// code, or as a crash.
+func TestGarbageFromThePlatform(t *testing.T) {
+	for _, body := range []string{"", "<html>", `{"key":5}`, `{"key":"other","version":3}`, `{"version":-1,"objects":{}}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, body)
+		}))
+		p := newProgram(nil)
+		p.Dial = func(string) platform.Store {
+			return platform.NewClient(platform.ClientConfig{URL: server.URL, Timeout: 5 * time.Second})
+		}
+		for _, args := range [][]string{{"get"}, {"get", "default"}, {"status"}, {"wait", "-timeout", "5s"}, {"set", "default", "retries=1", "-reason", "x"}} {
+			status, _, stderr := p.run(args...)
+			assert.Equal(t, status, 8, "%q %v: %s", body, args, stderr)
+		}
+		server.Close()
+	}
+	p, store := preparedProgram(t)
+	for _, report := range []string{`{"failure_domain":"ro-b","written_at":"2026-03-02T09:45:00Z"}`, `{"failure_domain":"ro-a"}`, `x`} {
+		put(t, store, "status/ro-a", report)
+		status, _, stderr := p.run("status")
+		assert.Equal(t, status, 8, stderr)
+	}
+}
+
+// Guards against lost decisions: while operators race and answers get lost, late
+// or garbled, each edit that was reported as written stays in the history, and
+// each that was reported as not written never shows up.
+func TestRandomOperatorsLoseNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) { raceOperators(t, seed) })
+	}
+}
+
+func raceOperators(t *testing.T, seed uint64) {
+	const operators, edits = 4, 6
+	store := platformtest.New(seed)
+	store.SetFaults(platformtest.Faults{DelayMs: 3, LostAnswerShare: 0.2, LateWriteShare: 0.2, LateWriteMs: 170, GarbageShare: 0.05})
+	var mu sync.Mutex
+	outcome := map[string]int{}
+	var group sync.WaitGroup
+	for operator := range operators {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(operator)))
+			p := newProgram(store)
+			for edit := range edits {
+				reason := fmt.Sprintf("edit-%d-%d", operator, edit)
+				field := []string{"retries", "moves", "hedge", "priority"}[random.IntN(4)]
+				f, _ := settings.LookupField(field)
+				time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+				status, _, _ := p.run("set", "service/a", field+"="+f.Example, "-reason", reason)
+				mu.Lock()
+				outcome[reason] = status
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	time.Sleep(time.Minute)
+	store.SetFaults(platformtest.Faults{})
+	history := newProgram(store).mustRun(t, "history", "service/a")
+	for reason, status := range outcome {
+		count := strings.Count(history, reason)
+		switch status {
+		case 0:
+			assert.Equal(t, count, 1, "seed %d: %s was written", seed, reason)
+		case 4:
+			assert.Equal(t, count, 0, "seed %d: %s conflicted", seed, reason)
+		default:
+			assert.Assert(t, count <= 1, "seed %d: %s has an unknown outcome", seed, reason)
+		}
+	}
+}
--- /dev/null
+++ b/internal/client/explain.go
@@ -0,0 +1,156 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+func explainCommand() command {
+	return command{
+		name: "explain", args: "[-region R] [-service S] [-kind K | -method M -path P]",
+		summary: "Shows the values for one path: which level gave each, by whom, when and why.",
+		examples: []string{
+			"mustardwing explain -region ro -service search",
+			"mustardwing explain -region ro -service photos -kind upload",
+			"mustardwing explain -region ro -service photos -method POST -path /photos/17",
+		},
+		register: func(f *flag.FlagSet, o *options, _ string) {
+			o.common(f, defaultTimeout)
+			o.platformFlag(f)
+			o.pathFlags(f)
+		},
+		run: runExplain,
+	}
+}
+
+// ExplainResult tells where each value of a path comes from.
+type ExplainResult struct {
+	Revision int64          `json:"revision"`
+	Region   string         `json:"region"`
+	Service  string         `json:"service"`
+	Kind     string         `json:"kind"`
+	Fields   []FieldOrigins `json:"fields"`
+}
+
+// FieldOrigins is one field's value with its origin.
+type FieldOrigins struct {
+	Field string          `json:"field"`
+	Value json.RawMessage `json:"value"`
+	// From is the scope that gives the value, "built-in" without an override.
+	From   string     `json:"from"`
+	SetBy  string     `json:"set_by,omitempty"`
+	SetAt  *time.Time `json:"set_at,omitempty"`
+	Reason string     `json:"reason,omitempty"`
+	// Hidden lists overrides of levels above, which From's wins over.
+	Hidden []OverrideView `json:"hidden,omitempty"`
+}
+
+func runExplain(ctx context.Context, inv *invocation) (output, error) {
+	o := inv.options
+	if o.kind != "" && (o.method != "" || o.path != "") {
+		return nil, resultcode.New(resultcode.Usage, "-kind %q with -method or -path: want either the kind or the call", o.kind)
+	}
+	if (o.method == "") != (o.path == "") {
+		return nil, resultcode.New(resultcode.Usage, "-method %q -path %q: want both or neither", o.method, o.path)
+	}
+	if (o.kind != "" || o.path != "") && o.service == "" {
+		return nil, resultcode.New(resultcode.Usage, "-service is missing: want the service of the kind or call")
+	}
+	if err := checkNames(o.region, o.service, o.kind); err != nil {
+		return nil, err
+	}
+	c, err := inv.client()
+	if err != nil {
+		return nil, err
+	}
+	t, err := c.readTree(ctx)
+	if err != nil {
+		return nil, err
+	}
+	path := settings.Path{Region: o.region, Service: o.service, Kind: o.kind}
+	if err := t.readable(path); err != nil {
+		return nil, err
+	}
+	if o.path != "" {
+		path.Kind = t.scopes().Tree().MatchKind(o.service, o.method, o.path)
+		if path.Kind == "" {
+			path.Kind = call.DefaultKind
+		}
+	}
+	return explain(t, path), nil
+}
+
+func checkNames(names ...string) error {
+	for _, name := range names {
+		if name == "" {
+			continue
+		}
+		if _, err := settings.ParseScopeName("service/" + name); err != nil {
+			return resultcode.New(resultcode.Usage, "name %q: want 1 to 63 characters of a-z, 0-9 and -, starting with a letter", name)
+		}
+	}
+	return nil
+}
+
+// readable refuses a path through an object that nodes refuse: each of them has
+// its own last good state of it in force.
+func (t tree) readable(path settings.Path) error {
+	names := []settings.ScopeName{{Level: settings.LevelDefault}}
+	names = append(names, settings.ScopeName{Level: settings.LevelRegion, Name: path.Region})
+	names = append(names, settings.ScopeName{Level: settings.LevelService, Name: path.Service})
+	for _, name := range names {
+		if _, err := t.object(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func explain(t tree, path settings.Path) ExplainResult {
+	result := ExplainResult{Revision: t.revision, Region: path.Region, Service: path.Service, Kind: path.Kind}
+	for _, e := range t.scopes().Explain(path) {
+		origins := FieldOrigins{Field: e.Field, Value: e.Value, From: "built-in"}
+		if e.Override != nil {
+			at := e.Override.SetAt
+			origins.From, origins.SetBy, origins.SetAt, origins.Reason = e.From, e.Override.SetBy, &at, e.Override.Reason
+		}
+		for _, h := range e.Hidden {
+			origins.Hidden = append(origins.Hidden, OverrideView{h.Scope, e.Field, h.Value, h.SetBy, h.Reason, h.SetAt})
+		}
+		result.Fields = append(result.Fields, origins)
+	}
+	return result
+}
+
+func (r ExplainResult) text(w io.Writer) {
+	fmt.Fprintf(w, "region %s, service %s, kind %s, at revision %d\n\n", orAny(r.Region), orAny(r.Service), orAny(r.Kind), r.Revision)
+	t := newTable(w)
+	t.row("FIELD", "VALUE", "FROM", "SET BY", "SET AT", "REASON")
+	for _, f := range r.Fields {
+		at := ""
+		if f.SetAt != nil {
+			at = showTime(*f.SetAt)
+		}
+		t.row(f.Field, settings.ShowText(f.Value), f.From, f.SetBy, at, f.Reason)
+		for _, h := range f.Hidden {
+			t.row("", "("+settings.ShowText(h.Value)+")", h.Scope, h.SetBy, showTime(h.SetAt), h.Reason)
+		}
+	}
+	t.flush()
+	fmt.Fprintln(w, "\nValues in brackets are overrides that a lower level wins over.")
+}
+
+func orAny(name string) string {
+	if name == "" {
+		return "any"
+	}
+	return name
+}
--- /dev/null
+++ b/internal/client/options.go
@@ -0,0 +1,129 @@
+package client
+
+import (
+	"flag"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+// Defaults of -timeout.
+const (
+	defaultTimeout     = 10 * time.Second
+	defaultWaitTimeout = time.Minute
+)
+
+var errHelp = flag.ErrHelp
+
+// options holds the flags of all commands; each command registers its own.
+type options struct {
+	platform  string
+	output    string
+	timeout   time.Duration
+	by        string
+	reason    string
+	ifVersion int64
+	// replaceInvalid starts objects that cannot be read from nothing.
+	replaceInvalid bool
+	region         string
+	service        string
+	kind           string
+	method         string
+	path           string
+	revision       int64
+}
+
+func (o *options) json() bool {
+	return o.output == "json"
+}
+
+func (o *options) common(f *flag.FlagSet, timeout time.Duration) {
+	f.StringVar(&o.output, "o", "text", "output `form`: text or json")
+	f.DurationVar(&o.timeout, "timeout", timeout, "time limit of the whole command")
+}
+
+func (o *options) platformFlag(f *flag.FlagSet) {
+	f.StringVar(&o.platform, "platform", "", "`URL` of the platform; default from "+PlatformVariable)
+}
+
+func (o *options) decisionFlags(f *flag.FlagSet, user string) {
+	f.StringVar(&o.reason, "reason", "", "why; `text` recorded with the override")
+	f.StringVar(&o.by, "by", user, "who decides; `name` recorded with the override")
+}
+
+func (o *options) pathFlags(f *flag.FlagSet) {
+	f.StringVar(&o.region, "region", "", "`name` of the region")
+	f.StringVar(&o.service, "service", "", "`name` of the service")
+	f.StringVar(&o.kind, "kind", "", "`name` of the call kind")
+	f.StringVar(&o.method, "method", "", "HTTP `method`, with -path instead of -kind")
+	f.StringVar(&o.path, "path", "", "URL `path` of a call, with -method instead of -kind")
+}
+
+func (o *options) decider(now time.Time) Decider {
+	return Decider{SetBy: o.by, Reason: o.reason, SetAt: now.UTC().Truncate(time.Second)}
+}
+
+// invocation is one parsed command line.
+type invocation struct {
+	app     *App
+	options options
+	args    []string
+}
+
+// parse takes flags before, between and after the arguments.
+func (a *App) parse(cmd command, args []string) (*invocation, error) {
+	inv := &invocation{app: a, options: options{output: "text", timeout: defaultTimeout}}
+	set := flag.NewFlagSet(cmd.name, flag.ContinueOnError)
+	set.SetOutput(io.Discard)
+	cmd.register(set, &inv.options, a.User)
+	for len(args) > 0 {
+		if err := set.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return inv, errHelp
+			}
+			return inv, resultcode.New(resultcode.Usage, "%s: %s; mustardwing %s -h explains the flags", cmd.name, err, cmd.name)
+		}
+		args = set.Args()
+		if len(args) > 0 {
+			inv.args = append(inv.args, args[0])
+			args = args[1:]
+		}
+	}
+	return inv, inv.check(cmd)
+}
+
+func (inv *invocation) check(cmd command) error {
+	if o := inv.options.output; o != "text" && o != "json" {
+		return resultcode.New(resultcode.Usage, "-o %q: want text or json", o)
+	}
+	if inv.options.timeout <= 0 {
+		return resultcode.New(resultcode.Usage, "-timeout %s: want a positive duration such as 30s", inv.options.timeout)
+	}
+	if len(inv.args) < cmd.minArgs || (cmd.maxArgs >= 0 && len(inv.args) > cmd.maxArgs) {
+		return resultcode.New(resultcode.Usage, "%s %s: want mustardwing %s", cmd.name, strings.Join(inv.args, " "), strings.TrimSpace(cmd.name+" "+cmd.args))
+	}
+	return nil
+}
+
+// client connects to the platform.
+func (inv *invocation) client() (*Client, error) {
+	store, err := inv.app.store(inv.options.platform)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{Store: store, Now: inv.app.Now, NewWriteID: inv.app.NewWriteID}, nil
+}
+
+// scopeArg reads the first argument; a wrong one is a usage error.
+func (inv *invocation) scopeArg() (settings.ScopeName, error) {
+	name, err := settings.ParseScopeName(inv.args[0])
+	if err != nil {
+		return name, resultcode.New(resultcode.Usage, "%s", resultcode.From(err).Detail)
+	}
+	return name, nil
+}
--- /dev/null
+++ b/internal/client/plan.go
@@ -0,0 +1,128 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+// plan is what a list of changes would alter in the tree as it was read.
+type plan struct {
+	steps []step
+	// unchanged counts the changes that are in force already.
+	unchanged int
+}
+
+// step holds the changes to one object.
+type step struct {
+	object  stored
+	changes []settings.Change
+}
+
+// plan reads the tree, leaves out changes without effect, and checks every
+// object that would be written, so that nothing is written when one of them is
+// refused.
+func (c *Client) plan(ctx context.Context, changes []settings.Change, replaceInvalid bool) (plan, error) {
+	t, err := c.readTree(ctx)
+	if err != nil {
+		return plan{}, err
+	}
+	var p plan
+	places := make(map[settings.ScopeName]int)
+	for _, change := range changes {
+		object, err := t.object(change.Scope)
+		if err != nil && !replaceInvalid {
+			return plan{}, err
+		}
+		if err == nil && !change.HasEffect(object.scope) {
+			p.unchanged++
+			continue
+		}
+		i, ok := places[object.name]
+		if !ok {
+			i = len(p.steps)
+			places[object.name] = i
+			p.steps = append(p.steps, step{object: object})
+		}
+		p.steps[i].changes = append(p.steps[i].changes, change)
+	}
+	return p, p.check()
+}
+
+func (p plan) check() error {
+	for _, s := range p.steps {
+		if _, err := settings.Encode(s.object.name, s.object.scope.With("check", s.changes)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// carryOut writes the steps in order. After a failure it says what was written
+// and what was not; running the same changes again completes them.
+func (c *Client) carryOut(ctx context.Context, p plan) ([]Written, error) {
+	var done []Written
+	for i, s := range p.steps {
+		written, err := c.edit(ctx, s.object, s.changes)
+		if err != nil {
+			return done, interrupted(done, p.steps[i:], err)
+		}
+		done = append(done, written)
+	}
+	return done, nil
+}
+
+// PartialError is the failure of one object among several.
+type PartialError struct {
+	// Written lists what is in the store, NotWritten what is not, the failed
+	// object first.
+	Written    []Written `json:"written"`
+	NotWritten []string  `json:"not_written"`
+	cause      error
+}
+
+func interrupted(done []Written, left []step, cause error) error {
+	if len(done) == 0 && len(left) == 1 {
+		return cause
+	}
+	partial := &PartialError{Written: done, cause: cause}
+	for _, s := range left {
+		partial.NotWritten = append(partial.NotWritten, s.object.name.String())
+	}
+	return partial
+}
+
+// Error implements error.
+func (e *PartialError) Error() string {
+	return e.coded().Error()
+}
+
+// Unwrap returns the failure itself.
+func (e *PartialError) Unwrap() error {
+	return e.cause
+}
+
+func (e *PartialError) coded() *resultcode.Error {
+	cause := resultcode.From(e.cause)
+	written := "nothing"
+	var names []string
+	for _, w := range e.Written {
+		names = append(names, fmt.Sprintf("%s at revision %d", w.Scope, w.Revision))
+	}
+	if len(names) > 0 {
+		written = strings.Join(names, ", ")
+	}
+	return resultcode.New(cause.Code, "%s\n  written: %s\n  not written: %s; run the command again to complete them",
+		errorText(cause), written, strings.Join(e.NotWritten, ", "))
+}
+
+// errorText is the error's detail with its cause, without the code.
+func errorText(e *resultcode.Error) string {
+	if e.Cause == nil {
+		return e.Detail
+	}
+	return e.Detail + ": " + e.Cause.Error()
+}
--- /dev/null
+++ b/internal/client/set.go
@@ -0,0 +1,162 @@
+package client
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+// anyVersion is the default of -if-version.
+const anyVersion = -1
+
+func setCommand() command {
+	return command{
+		name: "set", args: "SCOPE FIELD=VALUE... -reason TEXT", minArgs: 2, maxArgs: -1,
+		summary: "Sets overrides of one scope. A reason is mandatory and is kept with them.",
+		examples: []string{
+			`mustardwing set default timeout=5s -reason "pages give up after 5 s anyway"`,
+			`mustardwing set service/photos/upload match="POST /photos, PUT /photos" max_body=256MiB -reason "photo sets of dealers"`,
+			`mustardwing set service/payments/promotion priority=critical idempotent=no -reason "a promotion must not be charged twice"`,
+		},
+		register: registerEdit,
+		run:      runSet,
+	}
+}
+
+func unsetCommand() command {
+	return command{
+		name: "unset", args: "SCOPE FIELD... -reason TEXT", minArgs: 2, maxArgs: -1,
+		summary: "Removes overrides of one scope, which inherits again. A reason is mandatory.",
+		examples: []string{
+			`mustardwing unset service/search queue_timeout -reason "sale is over"`,
+		},
+		register: registerEdit,
+		run:      runUnset,
+	}
+}
+
+func registerEdit(f *flag.FlagSet, o *options, user string) {
+	o.common(f, defaultTimeout)
+	o.platformFlag(f)
+	o.decisionFlags(f, user)
+	f.Int64Var(&o.ifVersion, "if-version", anyVersion, "write only if the scope's object is at this `revision`, as shown by get; 0 for a new one")
+}
+
+// EditResult tells what was written.
+type EditResult struct {
+	Written []Written `json:"written"`
+	// Unchanged counts the changes of a file that were in force already.
+	Unchanged int `json:"unchanged"`
+}
+
+func runSet(ctx context.Context, inv *invocation) (output, error) {
+	return inv.editScope(ctx, func(c *settings.Change, arg string) error {
+		name, text, ok := strings.Cut(arg, "=")
+		field, known := settings.LookupField(name)
+		if !ok {
+			return resultcode.New(resultcode.Usage, "argument %q: want FIELD=VALUE", arg)
+		}
+		if !known {
+			return resultcode.New(resultcode.SettingsInvalid, "%s", resultcode.From(unknownField(name)).Detail)
+		}
+		c.Field, c.Value = name, field.FromText(text)
+		return nil
+	})
+}
+
+func runUnset(ctx context.Context, inv *invocation) (output, error) {
+	return inv.editScope(ctx, func(c *settings.Change, arg string) error {
+		c.Field = arg
+		return nil
+	})
+}
+
+func (inv *invocation) editScope(ctx context.Context, fill func(*settings.Change, string) error) (output, error) {
+	name, err := inv.scopeArg()
+	if err != nil {
+		return nil, err
+	}
+	decider := inv.options.decider(inv.app.Now())
+	if strings.TrimSpace(decider.Reason) == "" {
+		return nil, resultcode.New(resultcode.Usage, "-reason is missing: want why, which is kept with the override")
+	}
+	var changes []settings.Change
+	for _, arg := range inv.args[1:] {
+		change := settings.Change{Scope: name, SetBy: decider.SetBy, Reason: decider.Reason, SetAt: decider.SetAt}
+		if err := fill(&change, arg); err != nil {
+			return nil, err
+		}
+		changes = append(changes, change)
+	}
+	if err := settings.CheckAll(changes); err != nil {
+		return nil, err
+	}
+	return inv.write(ctx, name, changes)
+}
+
+func (inv *invocation) write(ctx context.Context, name settings.ScopeName, changes []settings.Change) (output, error) {
+	c, err := inv.client()
+	if err != nil {
+		return nil, err
+	}
+	seen, err := c.read(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	if wanted := inv.options.ifVersion; wanted != anyVersion && wanted != seen.version {
+		return nil, movedVersion(seen, wanted, changes)
+	}
+	if err := checkPresent(seen, changes); err != nil {
+		return nil, err
+	}
+	written, err := c.edit(ctx, seen, changes)
+	if err != nil {
+		return nil, err
+	}
+	return EditResult{Written: []Written{written}}, nil
+}
+
+// checkPresent refuses to unset a field that is not set.
+func checkPresent(seen stored, changes []settings.Change) error {
+	for _, c := range changes {
+		if _, given := seen.scope.At(c.Scope.Kind)[c.Field]; !given && c.Value == nil {
+			return resultcode.New(resultcode.ScopeNotFound, "%s: %s is not set there; nothing was written, see mustardwing explain", c.Scope, c.Field)
+		}
+	}
+	return nil
+}
+
+func movedVersion(seen stored, wanted int64, changes []settings.Change) error {
+	conflict := &Conflict{Scope: seen.name.String(), SeenVersion: wanted, Version: seen.version}
+	for _, c := range changes {
+		conflict.add(c, seen.scope)
+	}
+	return conflict
+}
+
+func (r EditResult) text(w io.Writer) {
+	revision := int64(0)
+	for _, written := range r.Written {
+		for _, change := range written.Changes {
+			fmt.Fprintln(w, change)
+		}
+		if written.Merged {
+			fmt.Fprintf(w, "%s: merged with another operator's edit of other fields\n", written.Scope)
+		}
+		if written.Recovered {
+			fmt.Fprintf(w, "%s: the answer to the write was lost; the write took effect\n", written.Scope)
+		}
+		revision = max(revision, written.Revision)
+	}
+	if r.Unchanged > 0 {
+		fmt.Fprintf(w, "%d changes were in force already\n", r.Unchanged)
+	}
+	if revision > 0 {
+		fmt.Fprintf(w, "revision %d; mustardwing wait -revision %d waits until it is in force everywhere\n", revision, revision)
+	}
+}
--- /dev/null
+++ b/internal/client/status.go
@@ -0,0 +1,127 @@
+package client
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+)
+
+func statusCommand() command {
+	return command{
+		name: "status", args: "[-service S]",
+		summary: "Shows per service and failure domain what the nodes report, and which need attention.",
+		examples: []string{
+			"mustardwing status",
+			"mustardwing status -service search -o json",
+		},
+		register: func(f *flag.FlagSet, o *options, _ string) {
+			o.common(f, defaultTimeout)
+			o.platformFlag(f)
+			f.StringVar(&o.service, "service", "", "`name` of one service")
+		},
+		run: func(ctx context.Context, inv *invocation) (output, error) {
+			c, err := inv.client()
+			if err != nil {
+				return nil, err
+			}
+			return c.status(ctx, inv.options.service)
+		},
+	}
+}
+
+func waitCommand() command {
+	return command{
+		name: "wait", args: "[-revision N] [-timeout D]",
+		summary: "Waits until a revision is in force at every node; without -revision the latest one.",
+		examples: []string{
+			"mustardwing wait",
+			"mustardwing wait -revision 4711 -timeout 30s",
+		},
+		register: func(f *flag.FlagSet, o *options, _ string) {
+			o.common(f, defaultWaitTimeout)
+			o.platformFlag(f)
+			f.Int64Var(&o.revision, "revision", 0, "`revision` to wait for; 0 is the latest in the store")
+		},
+		run: func(ctx context.Context, inv *invocation) (output, error) {
+			c, err := inv.client()
+			if err != nil {
+				return nil, err
+			}
+			return c.wait(ctx, inv.options.revision)
+		},
+	}
+}
+
+func (s FleetStatus) text(w io.Writer) {
+	fmt.Fprintf(w, "revision %d in the store\n\n", s.Revision)
+	t := newTable(w)
+	t.row("SERVICE", "DOMAIN", "INSTANCES", "DRAINING", "RUNNING/SLOTS", "QUEUED", "SHED "+priorityHeading(), "REVISION")
+	for _, d := range s.Domains {
+		for _, v := range d.Services {
+			t.row(orNoService(v.Service), d.FailureDomain, fmt.Sprint(v.Instances), fmt.Sprint(v.Draining),
+				fmt.Sprintf("%d/%d", v.Running, v.Slots), fmt.Sprint(v.Queued), joinCounts(v.Shed), v.revisions())
+		}
+	}
+	t.flush()
+	for _, line := range s.attention() {
+		fmt.Fprintln(w, line)
+	}
+}
+
+// attention lists stale reports, nodes with problems, and domains with nodes
+// that are behind the store.
+func (s FleetStatus) attention() []string {
+	lines := []string{""}
+	for _, d := range s.Domains {
+		if d.Stale {
+			lines = append(lines, fmt.Sprintf("failure domain %s: no report since %s", d.FailureDomain, showTime(d.WrittenAt)))
+		}
+		for _, p := range d.Problems {
+			lines = append(lines, p.describe("failure domain "+d.FailureDomain))
+		}
+		for _, v := range d.Services {
+			if v.Instances > 0 && v.RevisionMin < s.Revision {
+				lines = append(lines, fmt.Sprintf("failure domain %s: %s is behind the store, revision %d of %d",
+					d.FailureDomain, orNoService(v.Service), v.RevisionMin, s.Revision))
+			}
+		}
+	}
+	if len(s.Domains) == 0 {
+		lines = append(lines, "no failure domain has reported yet")
+	}
+	if len(lines) == 1 {
+		lines = append(lines, "nothing is unreachable or behind")
+	}
+	return lines
+}
+
+func (s ServiceStatus) revisions() string {
+	if s.RevisionMin == s.RevisionMax {
+		return showRevision(s.RevisionMin)
+	}
+	return showRevision(s.RevisionMin) + "-" + showRevision(s.RevisionMax)
+}
+
+func (r WaitResult) text(w io.Writer) {
+	fmt.Fprintf(w, "revision %d is in force at %d nodes in %d failure domains\n", r.Revision, r.Nodes, r.Domains)
+}
+
+func priorityHeading() string {
+	var names []string
+	for p := range call.PriorityCount {
+		names = append(names, call.Priority(p).String())
+	}
+	return strings.Join(names, "/")
+}
+
+func joinCounts(counts [call.PriorityCount]uint64) string {
+	var texts []string
+	for _, n := range counts {
+		texts = append(texts, fmt.Sprint(n))
+	}
+	return strings.Join(texts, "/")
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -146,6 +146,9 @@
 
 func readOverride(node strictjson.Node, name string, level Level) Override {
 	var override Override
+	if _, known := LookupField(name); !known {
+		node.Report("unknown field", "one of "+fieldNames())
+	}
 	object, ok := node.Object("value", "set_by", "reason", "set_at")
 	if !ok {
 		return override
@@ -158,16 +161,15 @@
 	return override
 }
 
-// checkValue records a problem when the field is unknown, not allowed at the
-// level, or does not accept the value.
+// checkValue records a problem when the field is not allowed at the level, or
+// does not accept the value.
 func checkValue(value strictjson.Node, name string, level Level) {
 	field, ok := LookupField(name)
 	if !ok {
-		value.Refuse("no unknown field; the fields are " + fieldNames())
 		return
 	}
 	if field.Levels&level == 0 {
-		value.Refuse(fmt.Sprintf("%s at level %s, not %s", name, field.Levels, level))
+		value.Report("given at level "+level.String(), name+" only at level "+field.Levels.String())
 		return
 	}
 	field.read(value, &overlay{})
--- a/internal/settings/decode_test.go
+++ b/internal/settings/decode_test.go
@@ -58,10 +58,10 @@
 		{"default", "priority", `"urgent"`, "want background, normal, high or critical"},
 		{"default", "idempotent", `"maybe"`, "want auto, yes or no"},
 		{"default", "idempotent", `null`, "want text"},
-		{"default", "retrys", `1`, "the fields are priority"},
-		{"default", "Retries", `1`, "the fields are priority"},
-		{"service/a", "match", `["GET /x"]`, "match at level kind, not service"},
-		{"service/a/k", "long_share", `0.5`, "long_share at level default, region, service, not kind"},
+		{"default", "retrys", `1`, "unknown field: want one of priority"},
+		{"default", "Retries", `1`, "unknown field: want one of priority"},
+		{"service/a", "match", `["GET /x"]`, "given at level service: want match only at level kind"},
+		{"service/a/k", "long_share", `0.5`, "given at level kind: want long_share only at level default, region, service"},
 		{"service/a/k", "match", `[]`, "want 1 to 32 rules"},
 		{"service/a/k", "match", `"GET /x"`, "want a list"},
 		{"service/a/k", "match", `["get /x"]`, `match.value[0]: "get /x": want a method`},
@@ -114,7 +114,7 @@
 func TestAllProblemsAtOnce(t *testing.T) {
 	document := `{"extra":1,"overrides":{"retries":{"value":99},"nope":{"value":1,` + decision + `}}}`
 	_, err := Decode(parseName(t, "default"), []byte(document))
-	for _, path := range []string{"extra:", "overrides.retries.value:", "overrides.retries.set_by:", "overrides.nope.value:"} {
+	for _, path := range []string{"extra:", "overrides.retries.value:", "overrides.retries.set_by:", "overrides.nope: unknown field"} {
 		assert.ErrorContains(t, err, path)
 	}
 	err = CheckAll([]Change{edit("default", "retries", "99"), edit("default", "nope", ""), edit("default", "retries", "1")})
--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -31,24 +31,13 @@
 }
 
 // Check refuses a change that lacks a reason or an author, or whose field or
-// value is not accepted at its level.
+// value is not accepted at its level, and reports all of these at once.
 func (c Change) Check() error {
-	if !hasText(c.Reason) || len(c.Reason) > MaxReasonBytes {
-		return resultcode.New(resultcode.SettingsInvalid, "%s: reason %q: want 1 to %d bytes of text", c, c.Reason, MaxReasonBytes)
-	}
-	if !hasText(c.SetBy) || len(c.SetBy) > MaxSetByBytes {
-		return resultcode.New(resultcode.SettingsInvalid, "%s: author %q: want 1 to %d bytes of text", c, c.SetBy, MaxSetByBytes)
-	}
-	if c.Value == nil {
-		return c.checkUnset()
-	}
-	scope := &Scope{Overrides: Overrides{}}
-	scope.put(c.Scope.Kind, c.Field, c.override())
-	_, err := Encode(c.Scope, scope)
-	return err
+	return CheckAll([]Change{c})
 }
 
-// CheckAll checks each change and reports all problems in one error.
+// CheckAll checks each change and reports all problems in one SettingsInvalid
+// error.
 func CheckAll(changes []Change) error {
 	var details []string
 	seen := make(map[string]bool)
@@ -58,24 +47,45 @@
 			details = append(details, fmt.Sprintf("%s: field %s given twice: want each field once", c.Scope, c.Field))
 		}
 		seen[place] = true
-		if err := c.Check(); err != nil {
-			details = append(details, resultcode.From(err).Detail)
-		}
+		details = append(details, c.problems()...)
 	}
-	if len(details) == 0 {
+	switch len(details) {
+	case 0:
 		return nil
-	}
-	if len(details) == 1 {
+	case 1:
 		return resultcode.New(resultcode.SettingsInvalid, "%s", details[0])
 	}
 	return resultcode.New(resultcode.SettingsInvalid, "%d problems\n  %s", len(details), strings.Join(details, "\n  "))
 }
 
-func (c Change) checkUnset() error {
-	if _, ok := LookupField(c.Field); !ok {
+func (c Change) problems() []string {
+	var details []string
+	if !hasText(c.Reason) || len(c.Reason) > MaxReasonBytes {
+		details = append(details, fmt.Sprintf("%s: reason %q: want 1 to %d bytes of text", c, c.Reason, MaxReasonBytes))
+	}
+	if !hasText(c.SetBy) || len(c.SetBy) > MaxSetByBytes {
+		details = append(details, fmt.Sprintf("%s: author %q: want 1 to %d bytes of text", c, c.SetBy, MaxSetByBytes))
+	}
+	if err := c.checkField(); err != nil {
+		details = append(details, resultcode.From(err).Detail)
+	}
+	return details
+}
+
+// checkField checks the field's name, level and value apart from the decision.
+func (c Change) checkField() error {
+	if _, ok := LookupField(c.Field); c.Value == nil && !ok {
 		return resultcode.New(resultcode.SettingsInvalid, "%s: unknown field %q: want one of %s", c.Scope, c.Field, fieldNames())
 	}
-	return nil
+	if c.Value == nil {
+		return nil
+	}
+	decided := c
+	decided.SetBy, decided.Reason = "check", "check"
+	scope := &Scope{Overrides: Overrides{}}
+	scope.put(c.Scope.Kind, c.Field, decided.override())
+	_, err := Encode(c.Scope, scope)
+	return err
 }
 
 func (c Change) override() Override {
--- a/internal/strictjson/node.go
+++ b/internal/strictjson/node.go
@@ -42,6 +42,11 @@
 	n.problems.Add(n.Path, string(n.Raw), want)
 }
 
+// Report records a problem with words for what was found.
+func (n Node) Report(found, want string) {
+	n.problems.Add(n.Path, found, want)
+}
+
 // Object returns the members of an object. Members that are not allowed and
 // members given twice are recorded as problems and left out.
 func (n Node) Object(allowed ...string) (Object, bool) {
