--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -48,6 +48,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
 	if c.Tracer == nil {
 		c.Tracer = relay.NoTracer()
 	}
@@ -68,7 +71,7 @@
 func (h *CallerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, span := relay.StartSpan(r.Context(), h.front.config.Tracer, "mustardwing.caller", r.Header)
 	defer span.End()
-	hints, err := h.front.accept(r)
+	hints, err := h.front.accept(w, r)
 	if err == nil {
 		err = h.front.config.Drain.Enter()
 	}
@@ -83,17 +86,19 @@
 
 // front is what the two listeners have in common.
 type front struct {
-	config Config
-	counts *relay.Counters
+	config  Config
+	counts  *relay.Counters
+	aborted tally.Counter
 }
 
 func newFront(config Config, name string) front {
 	config = config.withDefaults()
-	return front{config: config, counts: relay.NewCounters(config.Scope, name)}
+	return front{config: config, counts: relay.NewCounters(config.Scope, name), aborted: config.Scope.Counter(name + "_aborted")}
 }
 
 // accept checks what can be checked without knowing the service.
-func (f *front) accept(r *http.Request) (call.Hints, error) {
+func (f *front) accept(w http.ResponseWriter, r *http.Request) (call.Hints, error) {
+	allowEarlyResponse(w, r)
 	if !r.ProtoAtLeast(1, 1) {
 		return call.Hints{}, resultcode.New(resultcode.UnsupportedProtocol, "%s: want HTTP/1.1 or HTTP/2", r.Proto)
 	}
@@ -197,25 +202,29 @@
 
 // serve carries out a call and answers it.
 func (f *front) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, m call.Metadata, values settings.Values, parent child) {
-	ctx, cancel := context.WithDeadline(ctx, m.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, m.Deadline.Add(answerGrace))
 	defer cancel()
 	if r.ContentLength > values.MaxBodyBytes {
 		f.refuse(w, m.RequestID, resultcode.New(resultcode.BodyTooLarge, "body has %d bytes: want at most %d", r.ContentLength, values.MaxBodyBytes))
 		return
 	}
-	if r.ContentLength != 0 && r.ProtoMajor == 1 {
-		// Without it net/http reads much of the body before it sends a response,
-		// and a refusal would wait for a slow upload.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+	if !f.config.Now().Before(m.Deadline) {
+		f.refuse(w, m.RequestID, resultcode.New(resultcode.DeadlineInsufficient, "no time is left"))
+		return
 	}
+	defer limitIO(ctx, w, r.ContentLength != 0).release()
 	request := peer.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength}
-	body := router.NewBody(newLimitedBody(r.Body, values.MaxBodyBytes), r.ContentLength)
+	source := newCallerBody(r.Body, values.MaxBodyBytes)
+	body := router.NewBody(source, r.ContentLength)
 	outgoing, response, err := f.config.Router.Start(ctx, m, request, body, values.Hedge)
 	if err != nil {
 		settle(parent, outgoing.Finish())
+		discardShort(w, r, source)
+		keepConnection(w, source)
 		f.refuse(w, m.RequestID, err)
 		return
 	}
+	keepConnection(w, source)
 	f.answer(w, r, m, outgoing, response, parent)
 }
 
@@ -242,6 +251,7 @@
 	}
 	_, readErr, writeErr := relay.Copy(w, response, relay.FlushNeeded(response.ContentLength))
 	if readErr != nil || writeErr != nil {
+		f.aborted.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
 	relay.CopyTrailer(w, response.Trailer())
