Ownership and settings in the daemon

The node now runs the idempotency manager of the service its upstream announces, mounts its RPCs, and follows the settings in the platform's store.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -4,7 +4,9 @@
 	"context"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
+	"github.com/mustardwing/mustardwing/internal/idempotency"
 	"github.com/mustardwing/mustardwing/internal/peerv1"
 )
 
@@ -28,3 +30,46 @@
 		Leaving:     c.node.callers.Draining(),
 	}), nil
 }
+
+// AcquireExecution implements peerv1.PeerServiceHandler.
+func (c *control) AcquireExecution(ctx context.Context, r *connect.Request[peerv1.AcquireExecutionRequest]) (*connect.Response[peerv1.AcquireExecutionResponse], error) {
+	manager, err := c.manager(r.Msg.Service)
+	if err != nil {
+		return nil, err
+	}
+	return manager.AcquireExecution(ctx, r)
+}
+
+// CompleteExecution implements peerv1.PeerServiceHandler.
+func (c *control) CompleteExecution(ctx context.Context, r *connect.Request[peerv1.CompleteExecutionRequest]) (*connect.Response[peerv1.CompleteExecutionResponse], error) {
+	manager, err := c.manager(r.Msg.Service)
+	if err != nil {
+		return nil, err
+	}
+	return manager.CompleteExecution(ctx, r)
+}
+
+// RenewLease implements peerv1.PeerServiceHandler.
+func (c *control) RenewLease(ctx context.Context, r *connect.Request[peerv1.RenewLeaseRequest]) (*connect.Response[peerv1.RenewLeaseResponse], error) {
+	manager, err := c.manager(r.Msg.Service)
+	if err != nil {
+		return nil, err
+	}
+	return manager.RenewLease(ctx, r)
+}
+
+// JoinOwnership implements peerv1.PeerServiceHandler.
+func (c *control) JoinOwnership(ctx context.Context, r *connect.Request[peerv1.JoinOwnershipRequest]) (*connect.Response[peerv1.JoinOwnershipResponse], error) {
+	manager, err := c.manager(r.Msg.Service)
+	if err != nil {
+		return nil, err
+	}
+	return manager.JoinOwnership(ctx, r)
+}
+
+func (c *control) manager(service string) (*idempotency.Manager, error) {
+	if manager := c.node.ownership.current(service); manager != nil {
+		return manager, nil
+	}
+	return nil, connect.NewError(connect.CodeNotFound, errors.Errorf("this node keeps no keys of service %q", service))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	router     *router.Router
 	upstream   *upstream.Upstream
 	directory  *directory
+	ownership  *ownership
 
 	// callers counts calls that enter the system here, and work those that the
 	// upstream beside this node runs. Either may drain without the other.
@@ -49,6 +50,9 @@
 	work    *drain.State
 
 	servers []*http.Server
+	// running ends when the node closes.
+	running context.Context
+	cancel  context.CancelFunc
 }
 
 // New opens the listeners and builds a node that serves nothing yet.
@@ -67,10 +71,13 @@
 		callers:    drain.NewState(nil),
 		work:       drain.NewState(nil),
 	}
+	n.running, n.cancel = context.WithCancel(context.Background())
 	n.peers = newPeerClients(n.peerClient.ControlClient())
 	if config.Platform.URL != "" {
-		n.store = platform.NewClient(platform.ClientConfig{URL: config.Platform.URL, Timeout: config.Platform.Timeout})
+		client := platform.NewClient(platform.ClientConfig{URL: config.Platform.URL, Timeout: config.Platform.Timeout})
+		n.store = platform.Limit(client, platform.LimitConfig{})
 	}
+	n.ownership = &ownership{newManager: n.newOwnershipManager}
 	if err := n.buildMembership(); err != nil {
 		opened.close()
 		return nil, err
@@ -150,6 +157,7 @@
 			Upstream: n.upstream,
 			Running:  running,
 			Ledger:   ledger,
+			Guard:    n.ownership,
 			Drain:    n.work,
 			Control:  n.controlHandler(),
 			Logger:   n.log,
@@ -184,6 +192,9 @@
 	n.serve(n.servers[3], l.admin)
 	n.settings.notify()
 	n.members.Start()
+	if n.store != nil {
+		go n.watchSettings(n.running)
+	}
 	n.log.Info().Interface("addresses", n.Addresses()).Msg("node started")
 }
 
@@ -197,6 +208,9 @@
 	if err := n.callers.Drained(ctx); drained == nil {
 		drained = err
 	}
+	if err := n.ownership.leave(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("ownership could not be handed over")
+	}
 	_ = n.members.Leave(ctx)
 	n.close()
 	n.log.Info().Err(drained).Msg("shutdown ended")
@@ -211,6 +225,8 @@
 			_ = s.Close()
 		}
 	}
+	n.cancel()
+	n.ownership.close()
 	n.upstream.Close()
 	_ = n.members.Close()
 	n.peerClient.Close()
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -7,7 +7,10 @@
 	"github.com/google/uuid"
 
 	"github.com/mustardwing/mustardwing/internal/idempotency"
+	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/peerv1"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
 )
 
 // ownership runs the idempotency manager of the service that the upstream beside
@@ -45,6 +48,45 @@
 	}()
 }
 
+// newOwnershipManager returns a manager that finds the other members of the
+// service in the members table.
+func (n *Node) newOwnershipManager(service string) *idempotency.Manager {
+	self := n.members.Self()
+	values := n.settings.Resolve(settings.Path{Region: n.config.Region, Service: service})
+	return idempotency.NewManager(idempotency.Config{
+		Service: service,
+		Self: idempotency.Member{
+			Identity: idempotency.Identity{ID: self.ID, Incarnation: self.Incarnation},
+			Address:  self.Addresses.Peer,
+		},
+		Store:          n.store,
+		Live:           func() []*peerv1.OwnerMember { return n.liveOwners(service) },
+		Peer:           n.peers.at,
+		Window:         values.KeyWindow,
+		IsolationLimit: values.IsolationLimit,
+		Log:            n.log,
+		OnViolation:    n.violation,
+	})
+}
+
+// liveOwners lists the members of a service that may own keys.
+func (n *Node) liveOwners(service string) []*peerv1.OwnerMember {
+	var owners []*peerv1.OwnerMember
+	for _, m := range n.members.Members() {
+		live := m.State == membership.Alive || m.State == membership.Suspect
+		if live && m.Service == service && !m.Draining {
+			owners = append(owners, &peerv1.OwnerMember{Id: m.ID, Incarnation: m.Incarnation, PeerAddress: m.Addresses.Peer})
+		}
+	}
+	return owners
+}
+
+// violation counts an invariant found broken.
+func (n *Node) violation(err error) {
+	n.telemetry.Metrics.Counter("invariant_violations").Inc(1)
+	n.log.Error().Err(err).Msg("invariant violated")
+}
+
 // current returns the manager if it is that of the service.
 func (o *ownership) current(service string) *idempotency.Manager {
 	o.mu.Lock()
