--- a/internal/client/command.go
+++ b/internal/client/command.go
@@ -26,7 +26,7 @@
 func commands() []command {
 	return []command{
 		getCommand(), setCommand(), unsetCommand(), applyCommand(), diffCommand(), checkCommand(),
-		historyCommand(), explainCommand(), statusCommand(), waitCommand(), codesCommand(),
+		historyCommand(), explainCommand(), statusCommand(), waitCommand(), releaseCommand(), codesCommand(),
 	}
 }
 
--- a/internal/client/golden_test.go
+++ b/internal/client/golden_test.go
@@ -78,6 +78,8 @@
 		{"explain-both", "explain -service search -kind a -method GET -path /", 2},
 		{"status", "status", 0},
 		{"status-service", "status -service photos", 0},
+		{"release-unconfirmed", "release payments", 2},
+		{"release-unknown", "release payments -all-nodes-ended", 6},
 		{"codes", "codes", 0},
 		{"codes-one", "codes 402", 0},
 		{"codes-none", "codes 999", 6},
--- a/internal/client/options.go
+++ b/internal/client/options.go
@@ -36,6 +36,8 @@
 	method         string
 	path           string
 	revision       int64
+	// allNodesEnded is the operator's word for release.
+	allNodesEnded bool
 }
 
 func (o *options) json() bool {
