Client: read status reports in the form that package status writes

Change: the client reads nodes, lowest_revision, highest_revision, refusing, summaries and omitted as written there, and in addition an optional list "unreachable", which the writer does not give yet: a node that stops sending is dropped from a report after three intervals. status and wait name what is missing in the same words.

--- a/internal/client/fleet_status.go
+++ b/internal/client/fleet_status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -58,14 +59,16 @@
 	if err != nil {
 		return DomainReport{}, err
 	}
-	age := c.Now().Sub(status.WrittenAt)
+	age := c.Now().Sub(status.Written)
 	slices.SortFunc(status.Services, func(a, b ServiceStatus) int { return strings.Compare(a.Service, b.Service) })
 	return DomainReport{DomainStatus: status, AgeSeconds: age.Seconds(), Stale: age > staleReport}, nil
 }
 
 func (r *DomainReport) only(service string) {
 	r.Services = slices.DeleteFunc(r.Services, func(s ServiceStatus) bool { return s.Service != service })
-	r.Problems = slices.DeleteFunc(r.Problems, func(p NodeProblem) bool { return p.Service != service })
+	other := func(n NodeStatus) bool { return n.Service != service }
+	r.Summaries = slices.DeleteFunc(r.Summaries, other)
+	r.Unreachable = slices.DeleteFunc(r.Unreachable, other)
 }
 
 // latestRevision is the highest version of an object of the settings tree.
@@ -87,34 +90,45 @@
 	domain := "failure domain " + r.FailureDomain
 	var missing []string
 	if r.Stale {
-		missing = append(missing, domain+": no report since "+showTime(r.WrittenAt))
+		missing = append(missing, domain+": no report since "+showTime(r.Written))
 	}
-	for _, s := range r.Services {
-		if s.Instances > 0 && s.RevisionMin < revision {
-			missing = append(missing, domain+": a node of "+orNoService(s.Service)+" has revision "+showRevision(s.RevisionMin))
-		}
+	if r.Omitted > 0 {
+		missing = append(missing, fmt.Sprintf("%s: %d services did not fit into the report", domain, r.Omitted))
+	}
+	for _, n := range r.Unreachable {
+		missing = append(missing, n.describe(domain, "is unreachable"))
 	}
-	for _, p := range r.Problems {
-		if p.State == StateRefused || p.Revision < revision {
-			missing = append(missing, p.describe(domain))
+	for _, n := range r.Summaries {
+		if n.SettingsError != "" {
+			missing = append(missing, n.describe(domain, "refuses an object of the settings"))
+		} else if n.SettingsRevision < revision {
+			missing = append(missing, n.describe(domain, "is behind"))
 		}
 	}
+	for _, s := range r.Services {
+		missing = append(missing, s.missing(domain, revision)...)
+	}
 	return missing
 }
 
-func (p NodeProblem) describe(domain string) string {
-	text := domain + ": node " + p.Node + " of " + orNoService(p.Service) + " " + p.stateText() + ", revision " + showRevision(p.Revision)
-	if p.Detail != "" {
-		text += ": " + p.Detail
+// missing is for nodes whose summaries may not be in the report.
+func (s ServiceStatus) missing(domain string, revision int64) []string {
+	var missing []string
+	if s.Refusing > 0 {
+		missing = append(missing, fmt.Sprintf("%s: %d nodes of %s refuse an object of the settings", domain, s.Refusing, orNoService(s.Service)))
 	}
-	return text
+	if s.Nodes > 0 && s.LowestRevision < revision {
+		missing = append(missing, fmt.Sprintf("%s: %s is behind, revision %d of %d", domain, orNoService(s.Service), s.LowestRevision, revision))
+	}
+	return missing
 }
 
-func (p NodeProblem) stateText() string {
-	if p.State == StateRefused {
-		return "refuses an object of the settings"
+func (n NodeStatus) describe(domain, state string) string {
+	text := fmt.Sprintf("%s: node %s of %s %s, revision %d", domain, n.ID, orNoService(n.Service), state, n.SettingsRevision)
+	if n.SettingsError != "" {
+		text += ": " + n.SettingsError
 	}
-	return "is " + p.State
+	return text
 }
 
 func orNoService(service string) string {
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -59,10 +59,10 @@
 func (s FleetStatus) text(w io.Writer) {
 	fmt.Fprintf(w, "revision %d in the store\n\n", s.Revision)
 	t := newTable(w)
-	t.row("SERVICE", "DOMAIN", "INSTANCES", "DRAINING", "RUNNING/SLOTS", "QUEUED", "SHED "+priorityHeading(), "REVISION")
+	t.row("SERVICE", "DOMAIN", "NODES", "DRAINING", "RUNNING/SLOTS", "QUEUED", "SHED "+priorityHeading(), "REVISION")
 	for _, d := range s.Domains {
 		for _, v := range d.Services {
-			t.row(orNoService(v.Service), d.FailureDomain, fmt.Sprint(v.Instances), fmt.Sprint(v.Draining),
+			t.row(orNoService(v.Service), d.FailureDomain, fmt.Sprint(v.Nodes), fmt.Sprint(v.Draining),
 				fmt.Sprintf("%d/%d", v.Running, v.Slots), fmt.Sprint(v.Queued), joinCounts(v.Shed), v.revisions())
 		}
 	}
@@ -72,23 +72,12 @@
 	}
 }
 
-// attention lists stale reports, nodes with problems, and domains with nodes
-// that are behind the store.
+// attention lists what keeps the newest revision from being in force, with the
+// nodes that cannot be reached.
 func (s FleetStatus) attention() []string {
 	lines := []string{""}
 	for _, d := range s.Domains {
-		if d.Stale {
-			lines = append(lines, fmt.Sprintf("failure domain %s: no report since %s", d.FailureDomain, showTime(d.WrittenAt)))
-		}
-		for _, p := range d.Problems {
-			lines = append(lines, p.describe("failure domain "+d.FailureDomain))
-		}
-		for _, v := range d.Services {
-			if v.Instances > 0 && v.RevisionMin < s.Revision {
-				lines = append(lines, fmt.Sprintf("failure domain %s: %s is behind the store, revision %d of %d",
-					d.FailureDomain, orNoService(v.Service), v.RevisionMin, s.Revision))
-			}
-		}
+		lines = append(lines, d.missing(s.Revision)...)
 	}
 	if len(s.Domains) == 0 {
 		lines = append(lines, "no failure domain has reported yet")
@@ -100,10 +89,10 @@
 }
 
 func (s ServiceStatus) revisions() string {
-	if s.RevisionMin == s.RevisionMax {
-		return showRevision(s.RevisionMin)
+	if s.LowestRevision == s.HighestRevision {
+		return showRevision(s.LowestRevision)
 	}
-	return showRevision(s.RevisionMin) + "-" + showRevision(s.RevisionMax)
+	return showRevision(s.LowestRevision) + "-" + showRevision(s.HighestRevision)
 }
 
 func (r WaitResult) text(w io.Writer) {
--- a/internal/client/wait.go
+++ b/internal/client/wait.go
@@ -110,9 +110,7 @@
 			return false, err
 		}
 		w.missing = append(w.missing, report.missing(w.revision)...)
-		for _, s := range report.Services {
-			w.result.Nodes += s.Instances
-		}
+		w.result.Nodes += report.Nodes
 	}
 	slices.Sort(w.missing)
 	if w.result.Nodes == 0 {
