Client: -if-version binds an edit to exactly one version

Cause: an edit with -if-version was checked once and then merged like any other when somebody changed another field between the read and the write.

Measured: the new test fails without the check and passes with it; make lint and go test ./... pass.

--- a/internal/client/edit_test.go
+++ b/internal/client/edit_test.go
@@ -35,6 +35,21 @@
 	assert.Assert(t, strings.Contains(view, "ivo's") && strings.Contains(view, "ana's") && strings.Contains(view, "start"), view)
 }
 
+// Guards against an edit bound to a version that is merged with a later one.
+func TestExactVersionIsNotMerged(t *testing.T) {
+	store := platformtest.New(1)
+	hooked := &hookStore{Store: store}
+	ana, ivo := newProgram(hooked), newProgram(store)
+	ana.mustRun(t, "set", "service/search", "moves=1", "-reason", "start", "-if-version", "0")
+	hooked.beforeUpdate = func() {
+		ivo.mustRun(t, "set", "service/search", "hedge=false", "-reason", "ivo's")
+	}
+	status, _, stderr := ana.run("set", "service/search", "retries=1", "-reason", "ana's", "-if-version", "1")
+	assert.Equal(t, status, 4, stderr)
+	assert.Assert(t, strings.Contains(stderr, "service/search is at version 2, this edit started from version 1"), stderr)
+	assert.Assert(t, !strings.Contains(ana.mustRun(t, "history", "service/search"), "ana's"))
+}
+
 // Guards against an edit that overwrites what another operator decided about the
 // same field in the meantime, also when that was to keep the value for another
 // reason or to remove it.
--- a/internal/client/editor.go
+++ b/internal/client/editor.go
@@ -50,13 +50,16 @@
 // edit writes the changes, all of one object, starting from the state that the
 // operator saw. When somebody else changed other fields meanwhile, it starts
 // again from the present state; when an edited field itself was changed it fails
-// with SettingsConflict.
-func (c *Client) edit(ctx context.Context, seen stored, changes []settings.Change) (Written, error) {
+// with SettingsConflict. Exact fails also when any other field was changed.
+func (c *Client) edit(ctx context.Context, seen stored, changes []settings.Change, exact bool) (Written, error) {
 	writeID := c.NewWriteID()
 	present := seen
 	result := Written{Scope: seen.name.String(), Changes: changeResults(seen.scope, changes)}
 	var uncertain error
 	for attempt := range maxWriteAttempts {
+		if exact && present.version != seen.version {
+			return Written{}, movedVersion(present, seen.version, changes)
+		}
 		if err := checkUnchanged(seen, present, changes); err != nil {
 			return Written{}, err
 		}
--- a/internal/client/plan.go
+++ b/internal/client/plan.go
@@ -66,7 +66,7 @@
 func (c *Client) carryOut(ctx context.Context, p plan) ([]Written, error) {
 	var done []Written
 	for i, s := range p.steps {
-		written, err := c.edit(ctx, s.object, s.changes)
+		written, err := c.edit(ctx, s.object, s.changes, false)
 		if err != nil {
 			return done, interrupted(done, p.steps[i:], err)
 		}
--- a/internal/client/set.go
+++ b/internal/client/set.go
@@ -114,7 +114,7 @@
 	if err := checkPresent(seen, changes); err != nil {
 		return nil, err
 	}
-	written, err := c.edit(ctx, seen, changes)
+	written, err := c.edit(ctx, seen, changes, inv.options.ifVersion != anyVersion)
 	if err != nil {
 		return nil, err
 	}
