Router: moves wait until the key's owner knows of the refusal

Cause: Complete reports in the background, so the move after a refused attempt can reach the owner first and fail with KeyInProgress although no attempt ran. A 204 or 304 could get a Content-Length of 0.

Change: after a refusal of the same call, KeyInProgress is followed by another attempt 5 ms later, charged to moves. Content-Length is only passed on. Tests for this, for spare connections and for the port probe.

--- a/internal/ingress/failure_test.go
+++ b/internal/ingress/failure_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/call"
@@ -101,6 +102,46 @@
 	}
 }
 
+// lateGuard learns the outcome of an attempt only when the next one asks.
+type lateGuard struct {
+	memoryGuard
+	late func()
+}
+
+func (g *lateGuard) Acquire(ctx context.Context, service string, key, attempt uuid.UUID) error {
+	if report := g.late; report != nil {
+		g.late = nil
+		defer report()
+		return resultcode.New(resultcode.KeyInProgress, "key %s", key)
+	}
+	return g.memoryGuard.Acquire(ctx, service, key, attempt)
+}
+
+func (g *lateGuard) Complete(ctx context.Context, service string, key, attempt uuid.UUID, run resultcode.Execution, status int) {
+	g.late = func() { g.memoryGuard.Complete(ctx, service, key, attempt, run, status) }
+}
+
+// Guards against a move that fails because the key's owner has not yet heard
+// that the refused attempt was not run.
+func TestMoveWaitsForKey(t *testing.T) {
+	f := newFleet(t, func(f *fleet) {
+		f.guard = &lateGuard{memoryGuard: memoryGuard{keys: make(map[uuid.UUID]resultcode.Execution)}}
+	})
+	var refusals atomic.Int32
+	for range 2 {
+		f.add("ledger", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			if refusals.Add(1) == 1 {
+				w.Header().Set(call.HeaderRefusedAttempt, r.Header.Get(call.HeaderAttempt))
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}), func(a *upstream.Announcement) { a.RefusesBeforeWork = true })
+	}
+	response, err := newCaller(t).Do(newRequest(t, http.MethodPost, f.nodes[0].caller, "ledger", "x"))
+	assert.NilError(t, err)
+	assertCode(t, response, resultcode.OK, resultcode.Run)
+	assert.Equal(t, refusals.Load(), int32(2))
+}
+
 // Guards against a call that is reported as not run because its last attempt
 // was, although an earlier attempt may have run it.
 func TestEarlierAttemptKeepsOutcomeUnknown(t *testing.T) {
--- a/internal/ingress/fleet_test.go
+++ b/internal/ingress/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/mustardwing/mustardwing/internal/balancer"
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/drain"
+	"github.com/mustardwing/mustardwing/internal/idempotency"
 	"github.com/mustardwing/mustardwing/internal/ingress"
 	"github.com/mustardwing/mustardwing/internal/peer"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
@@ -69,7 +70,7 @@
 	t        *testing.T
 	values   settings.Values
 	baseline bool
-	guard    *memoryGuard
+	guard    idempotency.Guard
 	scope    tally.TestScope
 	now      func() time.Time
 	hedge    func(string) (time.Duration, bool)
--- a/internal/ingress/hedge_test.go
+++ b/internal/ingress/hedge_test.go
@@ -26,13 +26,19 @@
 	entry := f.add("", "", nil)
 	f.add("search", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
+			longerThanHedgeDelay()
 			return
 		}
 		stuck.Add(1)
 		<-r.Context().Done()
 		released.Add(1)
 	}), nil)
-	f.add("search", startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "quick") }), nil)
+	f.add("search", startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			longerThanHedgeDelay()
+		}
+		_, _ = io.WriteString(w, "quick")
+	}), nil)
 	caller := newCaller(t)
 	for range 20 {
 		response, err := caller.Do(newRequest(t, http.MethodGet, entry.caller, "search", ""))
@@ -52,6 +58,8 @@
 	assert.Equal(t, f.count("router_hedges"), hedges)
 }
 
+func longerThanHedgeDelay() { time.Sleep(50 * time.Millisecond) }
+
 // Guards against a hop without a span, or with a span outside the caller's trace.
 func TestSpanForEachHop(t *testing.T) {
 	spans := tracetest.NewInMemoryExporter()
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -157,8 +157,5 @@
 	header[call.HeaderCode] = values[0:1:1]
 	header[call.HeaderRun] = values[1:2:2]
 	header[call.HeaderLoad] = values[2:3:3]
-	if response.ContentLength >= 0 && len(header["Content-Length"]) == 0 {
-		header["Content-Length"] = []string{strconv.FormatInt(response.ContentLength, 10)}
-	}
 	w.WriteHeader(response.StatusCode)
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -12,6 +13,9 @@
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
+// keyReleaseDelay is some round trips between failure domains.
+const keyReleaseDelay = 5 * time.Millisecond
+
 // maxDiscardBytes bounds what is read of a response that is not relayed, to
 // learn from its trailer what was spent below it.
 const maxDiscardBytes = 64 << 10
@@ -131,16 +135,24 @@
 		return false
 	}
 	next := decide(o, c.metadata.Idempotent)
+	if next == finish && c.ownKeyInProgress(o) {
+		next = move
+	}
 	if next == finish || !c.budget.affords(next) || !c.canResend(o) {
 		return false
 	}
 	c.budget.pay(next)
-	c.refusal = nil
+	if o.code() == resultcode.KeyInProgress {
+		sleep(ctx, keyReleaseDelay)
+	}
 	switch next {
 	case move:
-		c.refusal = o.failure
+		if o.code() != resultcode.KeyInProgress {
+			c.refusal = o.failure
+		}
 		c.router.moves.Inc(1)
 	case again:
+		c.refusal = nil
 		c.router.retries.Inc(1)
 	}
 	c.lowest = o.code() == resultcode.Overloaded
@@ -148,6 +160,21 @@
 	return true
 }
 
+// ownKeyInProgress reports that the key's owner has not yet heard that the
+// previous attempt of this call was not run, which it is told in the background.
+func (c *Call) ownKeyInProgress(o outcome) bool {
+	return o.code() == resultcode.KeyInProgress && c.refusal != nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // canResend closes the attempt's view of the body, after which no more of the
 // source is read for it.
 func (c *Call) canResend(o outcome) bool {
@@ -170,7 +197,7 @@
 		o.response.Close()
 	}
 	c.settle(o)
-	if !c.router.config.Baseline {
+	if !c.router.config.Baseline && o.code() != resultcode.KeyInProgress {
 		c.excluded = append(c.excluded, o.choice.Instance.ID)
 	}
 	if o.execution() != resultcode.NotRun {
--- a/internal/upstream/scripted_test.go
+++ b/internal/upstream/scripted_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,5 +95,32 @@
 	return r
 }
 
+// boundPort is a port that refuses connections until it listens, and that no
+// other process can take meanwhile.
+type boundPort struct {
+	t       *testing.T
+	file    *os.File
+	address string
+}
+
+func bindPort(t *testing.T) boundPort {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	file := os.NewFile(uintptr(fd), "port")
+	t.Cleanup(func() { _ = file.Close() })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	return boundPort{t, file, net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))}
+}
+
+func (p boundPort) listen() net.Listener {
+	assert.NilError(p.t, syscall.Listen(int(p.file.Fd()), 16))
+	l, err := net.FileListener(p.file)
+	assert.NilError(p.t, err)
+	p.t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
 // counter counts requests that an upstream has seen, whole or in part.
 type counter struct{ atomic.Int32 }
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -56,11 +55,7 @@
 // Guards against a refused connection that is reported as unknown, which would
 // keep a non-idempotent call from being moved.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
-	u := announced(t, address, false)
+	u := announced(t, bindPort(t).address, false)
 	_, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, "body"))
 	assert.Equal(t, resultcode.From(err).Code, resultcode.UpstreamUnreachable)
 	assert.Equal(t, run, resultcode.NotRun)
@@ -179,3 +174,30 @@
 	}
 	assert.Equal(t, most.Load(), int32(3))
 }
+
+// Guards against a first burst that pays for new connections, and against an
+// upstream that stays unreachable although its port takes connections again.
+func TestWarmConnectionsAndProbe(t *testing.T) {
+	port := bindPort(t)
+	u := announced(t, port.address, false)
+	assert.NilError(t, u.Announce(upstream.Announcement{Service: "search", Address: port.address, Slots: 2, MaxConnections: 3, Ready: true}))
+	changes := make(chan bool, 10)
+	u.OnChange(func(s upstream.State) { changes <- s.Available() })
+	for available := range changes {
+		if !available {
+			break
+		}
+	}
+	l := port.listen()
+	for available := range changes {
+		if available {
+			break
+		}
+	}
+	// The probe's own connection, then one for each slot.
+	for range 3 {
+		c, err := l.Accept()
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+}
