--- a/internal/ingress/fleet_test.go
+++ b/internal/ingress/fleet_test.go
@@ -67,7 +67,7 @@
 
 // fleet is a set of nodes that know each other.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	values   settings.Values
 	baseline bool
 	guard    idempotency.Guard
@@ -79,7 +79,7 @@
 	services map[string][]balancer.Instance
 }
 
-func newFleet(t *testing.T, change func(*fleet)) *fleet {
+func newFleet(t testing.TB, change func(*fleet)) *fleet {
 	f := &fleet{
 		t: t, values: settings.Defaults(),
 		guard:    &memoryGuard{keys: make(map[uuid.UUID]resultcode.Execution)},
@@ -92,13 +92,13 @@
 	return f
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	return l
 }
 
-func serve(t *testing.T, server *http.Server) string {
+func serve(t testing.TB, server *http.Server) string {
 	l := listen(t)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -156,7 +156,7 @@
 
 // childRequest is an outgoing call of an upstream, with the headers that it is
 // documented to copy.
-func childRequest(t *testing.T, parent *http.Request, method, loopback, service, body string) *http.Request {
+func childRequest(t testing.TB, parent *http.Request, method, loopback, service, body string) *http.Request {
 	r := newRequest(t, method, loopback, service, body)
 	for _, name := range []string{call.HeaderRequestID, call.HeaderAttempt, "Traceparent", "Tracestate"} {
 		if values, ok := parent.Header[name]; ok {
@@ -167,18 +167,18 @@
 }
 
 // startUpstream serves a handler as an upstream instance would.
-func startUpstream(t *testing.T, handler http.HandlerFunc) string {
+func startUpstream(t testing.TB, handler http.HandlerFunc) string {
 	return serve(t, &http.Server{Handler: handler})
 }
 
 // newCaller returns an HTTP/1.1 client with connections of its own.
-func newCaller(t *testing.T) *http.Client {
+func newCaller(t testing.TB) *http.Client {
 	transport := &http.Transport{DisableCompression: true}
 	t.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
 }
 
-func newRequest(t *testing.T, method, address, service, body string) *http.Request {
+func newRequest(t testing.TB, method, address, service, body string) *http.Request {
 	r, err := http.NewRequest(method, "http://"+address+"/path?q=1", strings.NewReader(body))
 	assert.NilError(t, err)
 	r.Host = service + ".example"
--- a/internal/ingress/latency_test.go
+++ b/internal/ingress/latency_test.go
@@ -13,20 +13,18 @@
 // BenchmarkCall reports the latency of a GET to the upstream directly, and
 // through two nodes in this process.
 func BenchmarkCall(b *testing.B) {
-	t := &testing.T{}
-	address := ""
-	f := newFleet(t, nil)
-	address = startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1000)) })
+	f := newFleet(b, nil)
+	address := startUpstream(b, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1000)) })
 	entry := f.add("", "", nil)
 	f.add("search", address, nil)
 	for name, target := range map[string]string{"direct": address, "nodes": entry.caller} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
-			caller := newCaller(t)
+			caller := newCaller(b)
 			h := hdrhistogram.New(1, int64(time.Second), 3)
 			for range b.N {
 				started := time.Now()
-				response, err := caller.Do(newRequest(t, http.MethodGet, target, "search", ""))
+				response, err := caller.Do(newRequest(b, http.MethodGet, target, "search", ""))
 				assert.NilError(b, err)
 				_, _ = io.Copy(io.Discard, response.Body)
 				_ = response.Body.Close()
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -226,11 +226,18 @@
 	if cause == nil || failure.Execution == resultcode.Run {
 		return failure
 	}
-	code := resultcode.RequestInterrupted
-	if failure.Execution == resultcode.NotRun {
-		code = resultcode.From(cause).Code
+	notRun := failure.Execution == resultcode.NotRun
+	// Reading the body also fails because the time ran out.
+	expired := !c.router.config.Now().Before(c.metadata.Deadline)
+	switch {
+	case expired && notRun:
+		return resultcode.Wrap(cause, resultcode.DeadlineInsufficient, "the time ran out before the body was complete")
+	case expired:
+		return resultcode.Wrap(cause, resultcode.DeadlineExceeded, "the time ran out before the body was complete")
+	case notRun:
+		return resultcode.Wrap(cause, resultcode.From(cause).Code, "the request body ended early")
 	}
-	return resultcode.Wrap(cause, code, "the request body ended early")
+	return resultcode.Wrap(cause, resultcode.RequestInterrupted, "the request body ended early")
 }
 
 // conclude keeps a call from being reported as not run when an earlier attempt
