make demo, soak, bench and latency; the advertised peer address is used

README names make demo, which was missing; a node behind a proxy announced its own address instead of the configured one.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 BIN := bin
 SEED ?= 1
 STEPS ?= 2000
+SEEDS ?= 5
 
 .PHONY: build
 build:
@@ -14,6 +15,26 @@
 	$(GO) test ./...
 	$(GO) test -race -short ./internal/...
 
+# Shows the whole path, an overload and the operator's view; ends by itself.
+.PHONY: demo
+demo: build
+	$(BIN)/demo
+
+# Randomised runs for longer: make soak SEED=7 STEPS=5000
+.PHONY: soak
+soak:
+	SEED=$(SEED) STEPS=$(STEPS) $(GO) test -count=1 -timeout 80m ./internal/admission ./internal/balancer ./internal/retry ./internal/idempotency ./internal/membership ./internal/settingsync
+
+# Measures both deployments with the policy and with the baseline.
+.PHONY: bench
+bench: build
+	$(BIN)/bench -seeds $(SEEDS)
+
+# Measures what the nodes add to a call, and an idle daemon.
+.PHONY: latency
+latency: build
+	$(BIN)/latency
+
 .PHONY: lint
 lint:
 	@unformatted=$$($(GO) tool -modfile=tools/go.mod gofumpt -l . ); \
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,11 +89,15 @@
 
 func (n *Node) buildMembership() error {
 	addresses := n.Addresses()
+	peerAddress := addresses.Peer
+	if n.config.AdvertisePeer != "" {
+		peerAddress = n.config.AdvertisePeer
+	}
 	members, err := membership.New(membership.Config{
 		ID:            n.config.NodeID,
 		Region:        n.config.Region,
 		FailureDomain: n.config.FailureDomain,
-		Addresses:     membership.Addresses{Peer: addresses.Peer, Gossip: addresses.Gossip},
+		Addresses:     membership.Addresses{Peer: peerAddress, Gossip: addresses.Gossip},
 		Seeds:         n.config.Seeds,
 		Store:         n.store,
 		Client:        n.peers.at,
