settingsync, status: settings revisions and summaries

Settings have to be in force everywhere within 7 s, and neither they nor the status may cost the platform calls that grow with the fleet.

settingsync: two watchers per failure domain wait at the store; their revision rides on membership packets, and the other nodes fetch the changes from the peer that announced them. A revision that is not newer is ignored, one that is refused leaves the last good one in force, and a store whose version fell is reported and only followed again by a whole listing that is newer.

In settingsync the tests fail without fetching from peers, without the check of the store's version, with every node as watcher and without the mark of a refused revision. They do not fail without asking several peers at the start (announcements cover it), without the gap check (no peer sends a gap) and without the listing after a fallen version.

--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -41,6 +41,22 @@
 	return false
 }
 
+// DomainSize returns the number of live members of a failure domain.
+func (m *Memberlist) DomainSize(failureDomain string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	size := 0
+	if m.core.self.FailureDomain == failureDomain {
+		size++
+	}
+	for _, e := range m.core.table.live {
+		if e.FailureDomain == failureDomain {
+			size++
+		}
+	}
+	return size
+}
+
 // ranked returns the n live members of a failure domain with the highest hash.
 func (c *core) ranked(key, failureDomain string, n int) []Member {
 	type candidate struct {
--- /dev/null
+++ b/internal/settingsync/change.go
@@ -0,0 +1,69 @@
+package settingsync
+
+import (
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/platform"
+)
+
+// Prefix is where the settings are kept in the platform's store.
+const Prefix = "settings/"
+
+// Change is one new version of one scope.
+type Change struct {
+	Revision int64
+	// Previous is the revision of the change before it, zero for the first.
+	Previous int64
+	// Key is the object key in the store.
+	Key   string
+	Value []byte
+	// Deleted is set when the scope was removed; Value is then empty.
+	Deleted bool
+}
+
+// Update is what a node applies in one step.
+type Update struct {
+	// Revision is in force once the update is applied.
+	Revision int64
+	// Snapshot is set when Changes are the whole tree, which replaces the one in
+	// force; otherwise they continue it in order.
+	Snapshot bool
+	Changes  []Change
+}
+
+// Apply puts an update in force or refuses it as a whole. A refused update leaves
+// the last good settings in force.
+type Apply func(Update) error
+
+// Source says where the settings in force come from.
+type Source string
+
+// Sources.
+const (
+	// SourceNone means the built-in defaults.
+	SourceNone     Source = "defaults"
+	SourcePlatform Source = "platform"
+	SourcePeer     Source = "peer"
+)
+
+// Report is the state of the settings at this node.
+type Report struct {
+	// Revision in force; zero means the built-in defaults.
+	Revision int64
+	Source   Source
+	// Refused is the highest revision that was refused, and Err says why. Both
+	// are cleared when a later revision is applied.
+	Refused int64
+	Err     error
+}
+
+func toProto(c Change) *peerv1.SettingsChange {
+	return &peerv1.SettingsChange{Revision: c.Revision, Previous: c.Previous, Key: c.Key, Value: c.Value, Deleted: c.Deleted}
+}
+
+func fromProto(p *peerv1.SettingsChange) Change {
+	return Change{Revision: p.Revision, Previous: p.Previous, Key: p.Key, Value: p.Value, Deleted: p.Deleted}
+}
+
+func fromObject(o platform.Object) Change {
+	return Change{Revision: o.Version, Key: o.Key, Value: o.Value, Deleted: o.Deleted}
+}
--- /dev/null
+++ b/internal/settingsync/config.go
@@ -0,0 +1,95 @@
+// Package settingsync brings settings revisions from the platform's store to
+// every node: two watchers per failure domain wait at the store, all other nodes
+// fetch changes from peers.
+package settingsync
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/platform"
+)
+
+// Members is the part of membership.Memberlist that is used here.
+type Members interface {
+	Holds(membership.Role) bool
+	RandomPeers(n int) []membership.Member
+	UpdateLocal(func(*membership.Announcement))
+	SubscribeRevisions(func(peer membership.Member, revision int64))
+}
+
+// Config of a Syncer. Zero durations and counts take the defaults named at each
+// field.
+type Config struct {
+	Store   platform.Store
+	Members Members
+	// Client returns a client for a peer address.
+	Client func(address string) peerv1.PeerServiceClient
+	Apply  Apply
+	Logger zerolog.Logger
+	// RandomSeed makes jitter repeatable; zero takes a random one.
+	RandomSeed uint64
+
+	// RoleInterval is the time between two checks of the watcher role; default
+	// 1 s.
+	RoleInterval time.Duration
+	// MinBackoff and MaxBackoff bound the jittered wait after a failed store
+	// call; default 1 s and 30 s.
+	MinBackoff, MaxBackoff time.Duration
+	// ListTimeout bounds one listing; default 5 s.
+	ListTimeout time.Duration
+	// WatchTimeout bounds one watch and has to exceed the store's poll time;
+	// default 90 s.
+	WatchTimeout time.Duration
+	// PullTimeout bounds one fetch from a peer; default 2 s.
+	PullTimeout time.Duration
+	// PullAttempts is the number of peers tried for one announcement; default 3.
+	PullAttempts int
+	// StartPeers is the number of peers asked at the start; default 3.
+	StartPeers int
+	// LogChanges and LogBytes bound the changes kept for peers; default 1024 and
+	// 1 MiB.
+	LogChanges, LogBytes int
+}
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.RoleInterval, time.Second)
+	setDuration(&c.MinBackoff, time.Second)
+	setDuration(&c.MaxBackoff, 30*time.Second)
+	setDuration(&c.ListTimeout, 5*time.Second)
+	setDuration(&c.WatchTimeout, 90*time.Second)
+	setDuration(&c.PullTimeout, 2*time.Second)
+	setCount(&c.PullAttempts, 3)
+	setCount(&c.StartPeers, 3)
+	setCount(&c.LogChanges, 1024)
+	setCount(&c.LogBytes, 1<<20)
+	return c
+}
+
+func (c Config) validate() error {
+	switch {
+	case c.Members == nil:
+		return errors.New("settingsync: no members")
+	case c.Client == nil:
+		return errors.New("settingsync: no peer client")
+	case c.Apply == nil:
+		return errors.New("settingsync: no apply function")
+	}
+	return nil
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+func setCount(n *int, value int) {
+	if *n == 0 {
+		*n = value
+	}
+}
--- /dev/null
+++ b/internal/settingsync/syncer_test.go
@@ -0,0 +1,218 @@
+package settingsync_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/membership/membershiptest"
+	"github.com/mustardwing/mustardwing/internal/settingsync"
+)
+
+// inForceLimit is the promise of the design: in force everywhere within 7 s.
+const inForceLimit = 7 * time.Second
+
+func settled(t *testing.T, seed uint64, size int) *fleet {
+	f := newFleet(t, seed, size)
+	f.put("default", "one")
+	time.Sleep(30 * time.Second)
+	f.reached(inForceLimit)
+	return f
+}
+
+// TestChangeReachesAll guards against a change that some nodes get late: all 28
+// have it within the limit at 5 % loss.
+func TestChangeReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := settled(t, 1, 28)
+		defer f.stopAll()
+		f.net.SetFaults(membershiptest.Faults{Loss: 0.05, MinDelay: time.Millisecond, MaxDelay: 10 * time.Millisecond})
+		worst := time.Duration(0)
+		for i := range 50 {
+			f.put(fmt.Sprintf("service/s%d", i%5), strconv.Itoa(i))
+			worst = max(worst, f.reached(inForceLimit))
+		}
+		t.Logf("slowest change %s", worst)
+		f.checkFaults()
+	})
+}
+
+// TestStoreCallsDoNotGrow guards against a fleet that overloads the platform:
+// watches and calls stay the same with three times the nodes.
+func TestStoreCallsDoNotGrow(t *testing.T) {
+	count := func(size int) (watches, calls int) {
+		synctest.Test(t, func(t *testing.T) {
+			f := settled(t, 2, size)
+			defer f.stopAll()
+			f.store.ResetCalls()
+			for i := range 10 {
+				f.put("default", strconv.Itoa(i))
+				time.Sleep(10 * time.Second)
+			}
+			watches = f.store.PeakWatches()
+			calls = f.store.Calls("Watch") + f.store.Calls("List")
+			f.reached(inForceLimit)
+		})
+		return watches, calls
+	}
+	smallWatches, smallCalls := count(16)
+	largeWatches, largeCalls := count(48)
+	t.Logf("16 nodes: %d watches, %d calls; 48 nodes: %d watches, %d calls", smallWatches, smallCalls, largeWatches, largeCalls)
+	assert.Equal(t, smallWatches, 8)
+	assert.Equal(t, largeWatches, 8)
+	assert.Assert(t, largeCalls <= smallCalls+16)
+}
+
+// TestRefusedRevision guards against a node that loses its last good settings,
+// and against one that stays behind after the fault is corrected.
+func TestRefusedRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := settled(t, 3, 8)
+		defer f.stopAll()
+		before, _ := f.nodes[0].state()
+		bad := f.put("service/pay", refusedValue)
+		time.Sleep(time.Minute)
+		refusals := 0
+		for _, n := range f.nodes {
+			revision, _ := n.state()
+			assert.Equal(t, revision, before)
+			if report := n.syncer.Report(); report.Refused == bad && report.Err != nil {
+				refusals++
+			}
+		}
+		assert.Assert(t, refusals > 0, "no node reports the refusal")
+		f.put("service/pay", "good")
+		f.reached(inForceLimit)
+		for _, n := range f.nodes {
+			assert.NilError(t, n.syncer.Report().Err)
+		}
+	})
+}
+
+// TestStartDuringOutage guards against nodes that start without the platform and
+// run on defaults although a peer has the settings.
+func TestStartDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := settled(t, 4, 8)
+		defer f.stopAll()
+		f.store.SetOutage(true)
+		n := f.add()
+		time.Sleep(10 * time.Second)
+		want, _ := f.nodes[0].state()
+		got, _ := n.state()
+		assert.Equal(t, got, want)
+		assert.Equal(t, n.syncer.Report().Source, settingsync.SourcePeer)
+	})
+}
+
+// TestStoreAwayFromTheStart guards against nodes that wait for the platform: with
+// the store away for an hour they run on defaults, say so, and follow once it is
+// back.
+func TestStoreAwayFromTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, 0)
+		f.put("default", "one")
+		f.store.SetOutage(true)
+		for range 8 {
+			f.add()
+		}
+		defer f.stopAll()
+		time.Sleep(time.Hour)
+		assert.Equal(t, f.nodes[3].syncer.Report().Source, settingsync.SourceNone)
+		f.store.SetOutage(false)
+		t.Logf("in force %s after the store came back", f.reached(time.Minute))
+	})
+}
+
+// TestVersionsBackwards guards against a restored store that takes the fleet back
+// to older settings.
+func TestVersionsBackwards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := settled(t, 6, 8)
+		defer f.stopAll()
+		for i := range 20 {
+			f.put("default", strconv.Itoa(i))
+		}
+		f.reached(inForceLimit)
+		before, tree := f.nodes[0].state()
+		f.store.Restore(0)
+		f.put("default", "old")
+		time.Sleep(2 * time.Minute)
+		reported := 0
+		for _, n := range f.nodes {
+			revision, now := n.state()
+			assert.Equal(t, revision, before)
+			assert.Equal(t, now, tree)
+			if n.syncer.Report().Err != nil {
+				reported++
+			}
+		}
+		assert.Assert(t, reported > 0, "no watcher reports the store")
+		for i := range 40 {
+			f.put("default", "new"+strconv.Itoa(i))
+		}
+		t.Logf("followed again after %s", f.reached(2*time.Minute))
+		f.checkFaults()
+	})
+}
+
+// TestRandomChanges guards against revisions in force that fall and trees that
+// differ after faults of network, store and nodes.
+func TestRandomChanges(t *testing.T) {
+	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	steps, err := strconv.Atoi(os.Getenv("STEPS"))
+	if err != nil {
+		steps = 40
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := settled(t, seed+7, 12)
+		defer f.stopAll()
+		rng := rand.New(rand.NewPCG(seed, 9))
+		for range steps {
+			f.faults(rng)
+			f.net.SetCut(nil)
+			f.net.SetFaults(membershiptest.Faults{MinDelay: time.Millisecond, MaxDelay: 3 * time.Millisecond})
+			f.store.SetOutage(false)
+			for _, n := range f.nodes {
+				f.net.Resume(n.name)
+			}
+			f.reached(90 * time.Second)
+			f.checkFaults()
+		}
+	})
+}
+
+func (f *fleet) faults(rng *rand.Rand) {
+	for range 1 + rng.IntN(6) {
+		n := f.nodes[rng.IntN(len(f.nodes))]
+		switch rng.IntN(8) {
+		case 0:
+			f.net.SetCut(func(a, b string) bool { return a == n.name })
+		case 1:
+			f.net.SetFaults(membershiptest.Faults{Loss: 0.3, Duplication: 0.3, MinDelay: time.Millisecond, MaxDelay: 100 * time.Millisecond})
+		case 2:
+			f.net.Pause(n.name)
+		case 3:
+			f.store.SetOutage(true)
+			time.Sleep(time.Duration(rng.IntN(60)) * time.Second)
+			f.store.SetOutage(false)
+		case 4:
+			f.store.Compact()
+		case 5:
+			key := settingsync.Prefix + "service/s" + strconv.Itoa(rng.IntN(4))
+			if object, err := f.store.Get(context.Background(), key); err == nil {
+				assert.NilError(f.t, f.store.Delete(context.Background(), key, object.Version))
+			}
+		default:
+			f.put("service/s"+strconv.Itoa(rng.IntN(4)), strconv.Itoa(rng.IntN(1000)))
+		}
+		time.Sleep(time.Duration(rng.IntN(10000)) * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/status/config.go
@@ -0,0 +1,86 @@
+// Package status brings a summary of every node to the platform's store: each
+// node pushes it to the two reporters of its failure domain, which write one
+// object for the whole domain.
+package status
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+	"github.com/mustardwing/mustardwing/internal/platform"
+)
+
+// Members is the part of membership.Memberlist that is used here.
+type Members interface {
+	Holds(membership.Role) bool
+	Holders(role membership.Role, failureDomain string) []membership.Member
+	DomainSize(failureDomain string) int
+	Self() membership.Member
+}
+
+// Config of a Reporter. Zero durations and counts take the defaults named at
+// each field.
+type Config struct {
+	Store   platform.Store
+	Members Members
+	// Client returns a client for a peer address.
+	Client func(address string) peerv1.PeerServiceClient
+	// Provide returns this node's summary; identity and time are filled in.
+	Provide func() Summary
+	Logger  zerolog.Logger
+	// RandomSeed makes jitter repeatable; zero takes a random one.
+	RandomSeed uint64
+
+	// Interval is the shortest time between two summaries of a node and between
+	// two writes of a reporter; default 10 s.
+	Interval time.Duration
+	// NodesPerInterval is the size of a failure domain up to which its nodes send
+	// every Interval; a larger one sends proportionally less often; default 200.
+	NodesPerInterval int
+	// PushTimeout bounds one push; default 2 s.
+	PushTimeout time.Duration
+	// StoreTimeout bounds one call to the store; default 2 s.
+	StoreTimeout time.Duration
+	// MaxBackoff bounds the wait after failed writes; default 2 min.
+	MaxBackoff time.Duration
+	// MaxBytes bounds one report; default half of the store's largest value.
+	MaxBytes int
+}
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.Interval, 10*time.Second)
+	setDuration(&c.PushTimeout, 2*time.Second)
+	setDuration(&c.StoreTimeout, 2*time.Second)
+	setDuration(&c.MaxBackoff, 2*time.Minute)
+	if c.NodesPerInterval == 0 {
+		c.NodesPerInterval = 200
+	}
+	if c.MaxBytes == 0 {
+		c.MaxBytes = platform.MaxValueBytes / 2
+	}
+	return c
+}
+
+func (c Config) validate() error {
+	switch {
+	case c.Members == nil:
+		return errors.New("status: no members")
+	case c.Client == nil:
+		return errors.New("status: no peer client")
+	case c.Provide == nil:
+		return errors.New("status: no summary function")
+	case c.MaxBytes > platform.MaxValueBytes:
+		return errors.Errorf("status: report limit of %d bytes exceeds the store's %d", c.MaxBytes, platform.MaxValueBytes)
+	}
+	return nil
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/internal/status/summary.go
@@ -0,0 +1,88 @@
+package status
+
+import (
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/peerv1"
+)
+
+// Prefix is where the reports are kept in the platform's store, one object per
+// failure domain.
+const Prefix = "status/"
+
+// Priorities is the number of priority classes in the counters, from background
+// to critical.
+const Priorities = 4
+
+// Summary is what one node reports about itself.
+type Summary struct {
+	ID               string             `json:"id"`
+	Service          string             `json:"service,omitempty"`
+	Region           string             `json:"region"`
+	FailureDomain    string             `json:"failure_domain"`
+	Draining         bool               `json:"draining,omitempty"`
+	Slots            int                `json:"slots"`
+	Running          int                `json:"running"`
+	Queued           int                `json:"queued"`
+	SettingsRevision int64              `json:"settings_revision"`
+	SettingsError    string             `json:"settings_error,omitempty"`
+	Answered         [Priorities]uint64 `json:"answered"`
+	Shed             [Priorities]uint64 `json:"shed"`
+	// Sent is when the node made the summary, by its own clock.
+	Sent time.Time `json:"sent"`
+}
+
+// Service is the sum over the nodes of one service in a failure domain.
+type Service struct {
+	Service  string `json:"service"`
+	Nodes    int    `json:"nodes"`
+	Draining int    `json:"draining"`
+	Slots    int    `json:"slots"`
+	Running  int    `json:"running"`
+	Queued   int    `json:"queued"`
+	// LowestRevision and HighestRevision are the settings revisions in force.
+	LowestRevision  int64 `json:"lowest_revision"`
+	HighestRevision int64 `json:"highest_revision"`
+	// Refusing is the number of nodes that refused a settings revision.
+	Refusing int                `json:"refusing"`
+	Answered [Priorities]uint64 `json:"answered"`
+	Shed     [Priorities]uint64 `json:"shed"`
+}
+
+// Domain is the report of one failure domain.
+type Domain struct {
+	FailureDomain string `json:"failure_domain"`
+	// Reporter is the node that wrote the report.
+	Reporter string    `json:"reporter"`
+	Written  time.Time `json:"written"`
+	// Nodes is the number of nodes summed up in Services.
+	Nodes    int       `json:"nodes"`
+	Services []Service `json:"services"`
+	// Summaries holds single nodes while they fit: all of them in a small
+	// failure domain, otherwise first those with a settings error.
+	Summaries []Summary `json:"summaries"`
+	// Omitted is the number of services left out because the report would exceed
+	// the size of an object.
+	Omitted int `json:"omitted,omitempty"`
+}
+
+func toProto(s Summary) *peerv1.StatusSummary {
+	return &peerv1.StatusSummary{
+		Id: s.ID, Service: s.Service, Region: s.Region, FailureDomain: s.FailureDomain,
+		Draining: s.Draining, Slots: uint32(s.Slots), Running: uint32(s.Running), Queued: uint32(s.Queued),
+		SettingsRevision: s.SettingsRevision, SettingsError: s.SettingsError,
+		Answered: s.Answered[:], Shed: s.Shed[:], SentUnixMs: s.Sent.UnixMilli(),
+	}
+}
+
+func fromProto(p *peerv1.StatusSummary) Summary {
+	s := Summary{
+		ID: p.Id, Service: p.Service, Region: p.Region, FailureDomain: p.FailureDomain,
+		Draining: p.Draining, Slots: int(p.Slots), Running: int(p.Running), Queued: int(p.Queued),
+		SettingsRevision: p.SettingsRevision, SettingsError: p.SettingsError,
+		Sent: time.UnixMilli(p.SentUnixMs),
+	}
+	copy(s.Answered[:], p.Answered)
+	copy(s.Shed[:], p.Shed)
+	return s
+}
