--- a/internal/idempotency/fleet_test.go
+++ b/internal/idempotency/fleet_test.go
@@ -162,6 +162,21 @@
 	go p.manager.Run(ctx)
 }
 
+// current returns the process that runs or last ran at the address.
+func (n *node) current() *process {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.process
+}
+
+// record returns the record that the process knows.
+func (n *node) record() *Record {
+	m := n.current().manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.record
+}
+
 func (n *node) crash() {
 	n.fleet.mu.Lock()
 	p := n.process
