Idempotency: bound the owners of a service; test of takeover after keys ahead

The 10 s by which a takeover starts later had no test. Change: a record has at most 16 members; other nodes ask a member for the record every 5 to 10 s, and at once after an owner did not answer. A test replaces the only member after it granted keys 5 s ahead of its clock.

--- a/internal/idempotency/config.go
+++ b/internal/idempotency/config.go
@@ -20,6 +20,10 @@
 	// DefaultMaxReports bounds the reports that wait for an owner.
 	DefaultMaxReports = 1 << 13
 	DefaultRPCTimeout = time.Second
+	// DefaultMaxMembers bounds the owners of one service. Leases are exchanged
+	// between all pairs every 2 s, so that a service of hundreds of nodes would
+	// exceed the control traffic allowed per node.
+	DefaultMaxMembers = 16
 )
 
 // Config configures a Manager. Zero values of the fields with a default mean
@@ -48,7 +52,9 @@
 	MaxKeys        int
 	MaxReports     int
 	RPCTimeout     time.Duration
-	Log            zerolog.Logger
+	// MaxMembers bounds the owners; the other nodes of the service ask them.
+	MaxMembers int
+	Log        zerolog.Logger
 	// OnViolation is called when an invariant of the protocol does not hold. The
 	// Manager logs it in any case.
 	OnViolation func(error)
@@ -76,6 +82,9 @@
 	if c.RPCTimeout == 0 {
 		c.RPCTimeout = DefaultRPCTimeout
 	}
+	if c.MaxMembers == 0 {
+		c.MaxMembers = DefaultMaxMembers
+	}
 	if c.OnViolation == nil {
 		c.OnViolation = func(error) {}
 	}
--- a/internal/idempotency/joiner.go
+++ b/internal/idempotency/joiner.go
@@ -10,8 +10,13 @@
 	"github.com/mustardwing/mustardwing/internal/platform"
 )
 
-// joinRetry is how often a process that is not a member asks to be one.
-const joinRetry = time.Second
+const (
+	// joinRetry is how often a process that is not a member asks to be one.
+	joinRetry = time.Second
+	// fullRetry is how often it asks while there are as many members as allowed;
+	// the answer carries the record that it needs to find the owners.
+	fullRetry = 10 * time.Second
+)
 
 // join makes one step towards membership: it asks a member, and when none
 // answers it reads the record and, when nobody else may write, writes it.
@@ -62,9 +67,31 @@
 		return false
 	}
 	m.adoptMessage(response.Msg.Record)
+	if response.Msg.Accepted {
+		m.waitIfFull()
+	}
 	return response.Msg.Accepted
 }
 
+// waitIfFull delays the next request to join while no member can be added.
+func (m *Manager) waitIfFull() {
+	now := m.now()
+	wait := fullRetry/2 + time.Duration(m.config.Random()*float64(fullRetry)/2)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.core.record != nil && len(m.core.record.Newest().Members) >= m.config.MaxMembers {
+		m.nextJoin = now + wait.Milliseconds()
+	}
+}
+
+// joinSoon ends that delay when the record may be out of date.
+func (m *Manager) joinSoon() {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nextJoin = min(m.nextJoin, now+joinRetry.Milliseconds())
+}
+
 // joinTargets returns the live members of the newest epoch known, in the order
 // in which they write, and all live processes of the service when there are
 // none.
@@ -113,6 +140,12 @@
 	return ranked(m.config.Service, members)
 }
 
+// owners returns the live processes that become members of a record written by
+// a process that is not one.
+func (m *Manager) owners(live []Member) []Member {
+	return live[:min(len(live), m.config.MaxMembers)]
+}
+
 // createRecord writes the service's first record.
 func (m *Manager) createRecord(ctx context.Context) {
 	live := m.liveMembers()
@@ -125,7 +158,7 @@
 		m.mu.Unlock()
 		return
 	}
-	p := m.core.create(now, m.config.Service, live, platform.NewWriteID())
+	p := m.core.create(now, m.config.Service, m.owners(live), platform.NewWriteID())
 	m.mu.Unlock()
 	m.attempt(ctx, p)
 }
@@ -151,7 +184,7 @@
 		m.mu.Unlock()
 		return
 	}
-	p := m.core.takeOver(now, start, live, platform.NewWriteID())
+	p := m.core.takeOver(now, start, m.owners(live), platform.NewWriteID())
 	m.mu.Unlock()
 	m.config.Log.Warn().Str("service", m.config.Service).Uint64("epoch", record.Newest().Number+1).
 		Int("proved_dead", len(proofs)).Msg("taking over ownership from members that are gone")
--- a/internal/idempotency/manager_guard.go
+++ b/internal/idempotency/manager_guard.go
@@ -107,6 +107,7 @@
 // unavailable is the error for a key whose owner did not decide. The keys of an
 // owner that has gone cannot be decided any more.
 func (m *Manager) unavailable(owner Member, key uuid.UUID, cause error) error {
+	m.joinSoon()
 	m.mu.Lock()
 	record := m.core.record
 	m.mu.Unlock()
--- a/internal/idempotency/random_test.go
+++ b/internal/idempotency/random_test.go
@@ -79,6 +79,8 @@
 			f := newFleet(t, seed, 2+int(seed%4))
 			defer f.close()
 			f.skewClocks(time.Second)
+			// Every other seed has nodes that are not owners.
+			f.config = func(c *Config) { c.MaxMembers = 3 + int(seed%2)*5 }
 			f.startAll()
 			f.runFaults(steps)
 			assert.NilError(t, f.observer.failed())
--- a/internal/idempotency/rows_test.go
+++ b/internal/idempotency/rows_test.go
@@ -138,6 +138,28 @@
 	})
 }
 
+// Guards against a service of many nodes that all exchange leases, and against
+// nodes that are not owners and cannot find them.
+func TestManyNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 24)
+		defer f.close()
+		f.startAll()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(f.nodes[0].record().Newest().Members), DefaultMaxMembers)
+		before := f.store.Counts()
+		p := f.probe(time.Minute, 1, 5, 9, 13, 17, 21, 23)
+		assert.Equal(t, p.failed, 0)
+		after := f.store.Counts()
+		assert.Assert(t, after.Reads()+after.Writes()-before.Reads()-before.Writes() <= 2)
+		f.nodes[0].crash()
+		f.nodes[1].crash()
+		p = f.probe(time.Minute, 2, 7, 12, 17, 20, 21, 22, 23)
+		t.Logf("%d of %d keys refused, the last one issued %s after the crash of two", p.failed, p.tried, p.last)
+		assert.Assert(t, p.last <= 12*time.Second, "%s", p.last)
+	})
+}
+
 // Guards against a member whose leave while the platform is away stops the keys
 // of the others, and against keys of its own that stay refused afterwards.
 func TestLeaveWhilePlatformIsAway(t *testing.T) {
--- a/internal/idempotency/sabotage_test.go
+++ b/internal/idempotency/sabotage_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/peerv1"
@@ -18,6 +19,8 @@
 	longLeases bool
 	// earlyStart writes epochs that start right after the former one.
 	earlyStart bool
+	// earlyTakeover writes epochs that start at once.
+	earlyTakeover bool
 	// forgetFloor has owners forget keys without raising the floor.
 	forgetFloor bool
 	// forgetProposal has writers take an unresolved write for one without effect.
@@ -34,7 +37,7 @@
 }
 
 func (s sabotage) store(value []byte) []byte {
-	if !s.earlyStart {
+	if !s.earlyStart && !s.earlyTakeover {
 		return value
 	}
 	r, err := decodeRecord(testService, 0, value)
@@ -42,6 +45,9 @@
 		return value
 	}
 	r.Epochs[0].Start = r.Epochs[1].Start + 1
+	if s.earlyTakeover {
+		r.Epochs[0].Start = max(r.Epochs[0].Start, time.Now().UnixMilli())
+	}
 	value, _ = encodeRecord(r)
 	return value
 }
@@ -76,6 +82,7 @@
 	}{
 		"leases ignored":           {sabotage{longLeases: true}, randomFaults},
 		"epoch start not kept":     {sabotage{earlyStart: true}, randomFaults},
+		"takeover starts at once":  {sabotage{earlyTakeover: true}, takeoverAhead},
 		"floor not kept":           {sabotage{forgetFloor: true}, randomFaults},
 		"open proposal not capped": {sabotage{forgetProposal: true}, lateWrite},
 		"earlier attempt ignored":  {sabotage{forgetSent: true}, lateWriteThenCut},
@@ -107,6 +114,46 @@
 	f.runFaults(defaultSteps)
 }
 
+// Guards against a takeover that starts before keys that the dead member
+// granted ahead of its clock.
+func TestTakeoverAfterKeysAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.close()
+		takeoverAhead(f)
+		assert.NilError(t, f.observer.failed())
+		assert.Assert(t, f.observer.executed == 20, "%d", f.observer.executed)
+		f.awaitRecovery(recoveryBound)
+	})
+}
+
+// takeoverAhead has one member grant keys of a caller whose clock is ahead; a
+// new process replaces it at once and is asked for the same keys.
+func takeoverAhead(f *fleet) {
+	n := f.nodes[0]
+	n.start()
+	time.Sleep(20 * time.Second)
+	keys := make([]uuid.UUID, 20)
+	for i := range keys {
+		keys[i] = f.newKey(5 * time.Second)
+		f.execute(n, keys[i])
+	}
+	n.crash()
+	n.start()
+	for range 60 {
+		for _, key := range keys {
+			f.execute(n, key)
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func (f *fleet) execute(n *node, key uuid.UUID) {
+	if f.tryKey(n, key) == nil {
+		f.observer.permitted(key, n.current().member.ID)
+	}
+}
+
 // Guards against a writer that goes on granting while its own write, which was
 // read back as without effect, is still on its way.
 func TestLateWrites(t *testing.T) {
--- a/internal/idempotency/wanted.go
+++ b/internal/idempotency/wanted.go
@@ -48,8 +48,9 @@
 	return xxhash.Sum64String(service + "\x00" + m.ID)
 }
 
-// wantedChange compares the members of the newest epoch with those alive.
-func wantedChange(newest Epoch, live map[Identity]Member, departed map[Identity]bool, joining []Member) change {
+// wantedChange compares the members of the newest epoch with those alive. It
+// adds none beyond limit members.
+func wantedChange(newest Epoch, live map[Identity]Member, departed map[Identity]bool, joining []Member, limit int) change {
 	var ch change
 	incarnations := make(map[string]uint64)
 	candidates := joining
@@ -76,6 +77,8 @@
 		ch.add = append(ch.add, m)
 	}
 	sort.Slice(ch.add, func(i, j int) bool { return ch.add[i].ID < ch.add[j].ID })
+	room := max(0, limit-len(newest.Members)+len(ch.remove))
+	ch.add = ch.add[:min(room, len(ch.add))]
 	return ch
 }
 
--- a/internal/idempotency/writer.go
+++ b/internal/idempotency/writer.go
@@ -130,7 +130,7 @@
 	}
 	newest := m.core.record.Newest()
 	m.core.leases.forgetDeparted(newest, live)
-	ch := wantedChange(newest, live, m.core.leases.departed, m.joining(now))
+	ch := wantedChange(newest, live, m.core.leases.departed, m.joining(now), m.config.MaxMembers)
 	if ch.empty() {
 		m.wanted = wantedSince{}
 		return ch
