--- a/internal/idempotency/manager.go
+++ b/internal/idempotency/manager.go
@@ -175,10 +175,5 @@
 
 // sleepTick waits one tick; it is false when ctx has ended.
 func sleepTick(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(tickPeriod):
-		return true
-	}
+	return sleep(ctx, tickPeriod)
 }
--- a/internal/idempotency/manager_guard.go
+++ b/internal/idempotency/manager_guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
@@ -11,9 +12,15 @@
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
-// maxAsks bounds the owners asked for one acquisition: the owner by this node's
-// record and the one by a newer record that the answer carried.
-const maxAsks = 2
+const (
+	// maxAsks bounds the owners asked for one acquisition: the owner by this
+	// node's record and the one by a newer record that the answer carried.
+	maxAsks = 2
+	// inProgressWait is the wait before a key that another attempt holds is asked
+	// for once more. A call that was not run moves to another node at once, where
+	// its next attempt may overtake the report to the owner.
+	inProgressWait = 5 * time.Millisecond
+)
 
 // Acquire implements Guard.
 func (m *Manager) Acquire(ctx context.Context, service string, key, attempt uuid.UUID) error {
@@ -24,26 +31,47 @@
 	if _, err := IssueTime(key); err != nil {
 		return err
 	}
-	answer := Answer{State: NotOwner}
+	answer, err := m.askOwner(ctx, key, attempt)
+	if err == nil && answer.State == Running && sleep(ctx, inProgressWait) {
+		answer, err = m.askOwner(ctx, key, attempt)
+	}
+	if err != nil {
+		return err
+	}
+	return answerError(key, answer)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// askOwner returns the owner's answer, which is not NotOwner. With an error the
+// attempt may not run.
+func (m *Manager) askOwner(ctx context.Context, key, attempt uuid.UUID) (Answer, error) {
 	for range maxAsks {
 		owner, version, err := m.ownerOf(key)
 		if err != nil {
-			return err
+			return Answer{}, err
 		}
-		answer, err = m.ask(ctx, owner, key, attempt)
+		answer, err := m.ask(ctx, owner, key, attempt)
 		if err != nil {
 			// The owner may have granted the key.
-			m.Complete(ctx, service, key, attempt, resultcode.NotRun, 0)
-			return m.unavailable(owner, key, err)
+			m.Complete(ctx, m.config.Service, key, attempt, resultcode.NotRun, 0)
+			return Answer{}, m.unavailable(owner, key, err)
 		}
 		if answer.State != NotOwner {
-			break
+			return answer, nil
 		}
 		if m.version() == version {
-			return m.unavailable(owner, key, nil)
+			return Answer{}, m.unavailable(owner, key, nil)
 		}
 	}
-	return answerError(key, answer)
+	return Answer{}, resultcode.New(resultcode.OwnerUnavailable, "the owner of key %s is changing", key)
 }
 
 // ownerOf returns the owner by this node's record, and the record's version.
--- a/internal/idempotency/rows_test.go
+++ b/internal/idempotency/rows_test.go
@@ -6,9 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
 // probes records which new keys were refused, by the time since the fault.
@@ -160,6 +162,24 @@
 	})
 }
 
+// Guards against a call that was not run and is refused at the node it moves to
+// because its next attempt overtook the report.
+func TestMoveRightAfterNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 4)
+		defer f.close()
+		f.startAll()
+		time.Sleep(30 * time.Second)
+		m := f.nodes[0].current().manager
+		for range 400 {
+			key, attempt := f.newKey(0), uuid.New()
+			assert.NilError(t, m.Acquire(f.ctx, testService, key, attempt))
+			m.Complete(f.ctx, testService, key, attempt, resultcode.NotRun, 0)
+			assert.NilError(t, f.tryKey(f.nodes[1], key))
+		}
+	})
+}
+
 // Guards against a member whose leave while the platform is away stops the keys
 // of the others, and against keys of its own that stay refused afterwards.
 func TestLeaveWhilePlatformIsAway(t *testing.T) {
