--- a/internal/idempotency/rows_test.go
+++ b/internal/idempotency/rows_test.go
@@ -6,9 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
 // probes records which new keys were refused, by the time since the fault.
@@ -138,6 +140,46 @@
 	})
 }
 
+// Guards against a service of many nodes that all exchange leases, and against
+// nodes that are not owners and cannot find them.
+func TestManyNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 24)
+		defer f.close()
+		f.startAll()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(f.nodes[0].record().Newest().Members), DefaultMaxMembers)
+		before := f.store.Counts()
+		p := f.probe(time.Minute, 1, 5, 9, 13, 17, 21, 23)
+		assert.Equal(t, p.failed, 0)
+		after := f.store.Counts()
+		assert.Assert(t, after.Reads()+after.Writes()-before.Reads()-before.Writes() <= 2)
+		f.nodes[0].crash()
+		f.nodes[1].crash()
+		p = f.probe(time.Minute, 2, 7, 12, 17, 20, 21, 22, 23)
+		t.Logf("%d of %d keys refused, the last one issued %s after the crash of two", p.failed, p.tried, p.last)
+		assert.Assert(t, p.last <= 12*time.Second, "%s", p.last)
+	})
+}
+
+// Guards against a call that was not run and is refused at the node it moves to
+// because its next attempt overtook the report.
+func TestMoveRightAfterNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, 4)
+		defer f.close()
+		f.startAll()
+		time.Sleep(30 * time.Second)
+		m := f.nodes[0].current().manager
+		for range 400 {
+			key, attempt := f.newKey(0), uuid.New()
+			assert.NilError(t, m.Acquire(f.ctx, testService, key, attempt))
+			m.Complete(f.ctx, testService, key, attempt, resultcode.NotRun, 0)
+			assert.NilError(t, f.tryKey(f.nodes[1], key))
+		}
+	})
+}
+
 // Guards against a member whose leave while the platform is away stops the keys
 // of the others, and against keys of its own that stay refused afterwards.
 func TestLeaveWhilePlatformIsAway(t *testing.T) {
@@ -148,10 +190,10 @@
 		time.Sleep(30 * time.Second)
 		f.store.SetFaults(platformtest.Faults{Outage: true})
 		assert.NilError(t, f.nodes[0].leave(0))
-		leaver := f.nodes[0].member.Identity
+		leaver := f.nodes[0].current().member.Identity
 		for range 3000 {
 			key := f.newKey(0)
-			owner, _ := f.nodes[1].manager.core.record.Newest().Owner(key)
+			owner, _ := f.nodes[1].record().Newest().Owner(key)
 			err := f.tryKey(f.nodes[1], key)
 			assert.Equal(t, err != nil, owner.Identity == leaver, "owner %s: %v", owner.ID, err)
 			time.Sleep(20 * time.Millisecond)
@@ -192,7 +234,7 @@
 		f.nodes[0].start()
 		f.nodes[1].start()
 		time.Sleep(30 * time.Second)
-		validUntil := f.nodes[0].manager.core.record.ValidUntil
+		validUntil := f.nodes[0].record().ValidUntil
 		f.nodes[0].crash()
 		f.nodes[1].crash()
 		f.nodes[2].start()
