Policy: refuse for services below at the root only; strict level; look at all queues

Cause: with the last of four services the tightest, every service in the chain kept its own level for calls shed below it, and the most cautious of them left slots idle. Most calls that the last service refused had no move left (a fan-out of six shares the moves) while another of its instances had room. Change: Request.Depth; only calls from outside are refused for services below. The level in Load aims at 5 % shed instead of 20 %. When both random candidates have a queue, the balancer looks at all instances.

--- a/internal/admission/child_level.go
+++ b/internal/admission/child_level.go
@@ -17,7 +17,7 @@
 	// that succeeds, in units of the usual distance of calls above the level. Their
 	// ratio is the part of the calls that fail while the level rests.
 	childMinRaise = 0.1
-	childLower    = 0.005
+	childLower    = 0.03
 	// The usual distance is a mean with the weight childSpreadWeight for one more
 	// call. It starts at childSpread and is at least childMinSpread.
 	childSpreadWeight = 0.1
@@ -40,9 +40,17 @@
 	// cut is a position; calls below it are refused.
 	cut    float64
 	spread float64
-	// lastShed is the last failure, advanced when cut was last lowered by time.
-	lastShed, advanced time.Time
-	probed             time.Time
+	// quiet is shared by the kinds of one instance: while calls of any of them
+	// fail, the level of none falls by time.
+	quiet *quietTime
+	// advanced is when cut was last lowered by time.
+	advanced time.Time
+	probed   time.Time
+}
+
+// quietTime notes the last failure of any kind because a call below was shed.
+type quietTime struct {
+	lastShed time.Time
 }
 
 // position places a level on a line on which each priority is levelBuckets long.
@@ -73,7 +81,7 @@
 	if distance < 0 {
 		return
 	}
-	c.lastShed = now
+	c.quiet.lastShed = now
 	c.advanced = now
 	c.observe(distance)
 	step := max(childMinRaise*c.spread, childRaise*distance)
@@ -106,9 +114,9 @@
 
 // advance lets the level fall after a quiet time.
 func (c *childLevel) advance(now time.Time) {
-	quiet := now.Sub(c.lastShed) - childQuiet
+	quiet := now.Sub(c.quiet.lastShed) - childQuiet
 	if quiet > 0 {
-		since := max(0, c.advanced.Sub(c.lastShed)-childQuiet)
+		since := max(0, c.advanced.Sub(c.quiet.lastShed)-childQuiet)
 		c.cut = max(0, c.cut-c.spread*(fallen(quiet)-fallen(since)))
 	}
 	c.advanced = now
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -43,7 +43,7 @@
 		c.start(now, t)
 		return t
 	}
-	if t.kind.child.refuses(now, r.level()) {
+	if r.Depth == 0 && t.kind.child.refuses(now, r.level()) {
 		c.refuse(t, resultcode.Overloaded)
 		return t
 	}
--- a/internal/admission/kinds.go
+++ b/internal/admission/kinds.go
@@ -33,6 +33,8 @@
 	kinds map[string]*kindStats
 	// mean is the mean service time in seconds over all calls.
 	mean float64
+	// childQuiet is shared by the levels for calls shed below.
+	childQuiet quietTime
 }
 
 func newKindTable() *kindTable {
@@ -46,7 +48,7 @@
 		if len(k.kinds) >= maxKinds {
 			k.forgetOldest()
 		}
-		s = &kindStats{lastRun: now}
+		s = &kindStats{lastRun: now, child: childLevel{quiet: &k.childQuiet}}
 		k.kinds[name] = s
 	}
 	s.used = now
--- a/internal/admission/level_tracker.go
+++ b/internal/admission/level_tracker.go
@@ -16,13 +16,13 @@
 	// levelExpiry clears the level of an instance that saw no calls at all.
 	levelExpiry = time.Second
 	// The level rises when more than shedHigh of the calls at or above it were
-	// shed, so that shedTarget would be, and falls below shedLow. The queue sheds
-	// exactly the lowest calls and costs only a message, so the level leaves it
-	// enough to choose from: with 0.10, 0.07 and 0.05 the level swung between
-	// nothing and nearly everything, and slots were idle at twice the capacity.
-	shedHigh   = 0.30
-	shedTarget = 0.20
-	shedLow    = 0.10
+	// shed, so that shedTarget would be, and falls below shedLow. The part is small
+	// because a call deep in a chain often has no move left after a refusal, while
+	// an instance passed over for its level costs nothing. It is not zero: callers
+	// that refuse too much early would leave slots idle.
+	shedHigh   = 0.08
+	shedTarget = 0.05
+	shedLow    = 0.03
 	// levelBuckets divides the ranks of one priority.
 	levelBuckets    = 64
 	levelBucketBits = 26
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -12,6 +12,8 @@
 	Priority call.Priority
 	// Rank orders requests of equal priority; higher ranks are served first.
 	Rank uint32
+	// Depth counts hops from the root, which is zero.
+	Depth uint8
 	// Deadline may be zero for a call without one.
 	Deadline time.Time
 }
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -201,9 +201,25 @@
 	}
 	a, b := candidates[i], candidates[j]
 	if b.cost(now) < a.cost(now) {
-		return b
+		a = b
 	}
-	return a
+	if !a.queueing(now) {
+		return a
+	}
+	return cheapest(now, candidates)
+}
+
+// cheapest is used when both candidates have a queue. A call that is refused deep
+// in a chain has no moves left, so an instance with a shorter queue is worth the
+// look at all of them.
+func cheapest(now time.Time, candidates []*instanceState) *instanceState {
+	best := candidates[0]
+	for _, s := range candidates[1:] {
+		if s.cost(now) < best.cost(now) {
+			best = s
+		}
+	}
+	return best
 }
 
 // pickInTurn is the baseline: all ready instances in turn.
--- a/internal/balancer/instance_state.go
+++ b/internal/balancer/instance_state.go
@@ -141,14 +141,24 @@
 	return s.level
 }
 
-// cost estimates the delay of one more call, in units of the kind's latency per
-// slot.
-func (s *instanceState) cost(now time.Time) float64 {
-	load := float64(s.outstanding + 1)
+// load is the number of calls at the instance, as far as this node knows.
+func (s *instanceState) load(now time.Time) float64 {
+	load := float64(s.outstanding)
 	if s.othersLoad > 0 {
 		load += s.othersLoad * math.Exp(-now.Sub(s.loadAt).Seconds()/loadMemory.Seconds())
 	}
-	return load / float64(max(1, s.Slots)) * s.slowness(now)
+	return load
+}
+
+// cost estimates the delay of one more call, in units of the kind's latency per
+// slot.
+func (s *instanceState) cost(now time.Time) float64 {
+	return (s.load(now) + 1) / float64(max(1, s.Slots)) * s.slowness(now)
+}
+
+// queueing reports whether calls wait at the instance, by what is known here.
+func (s *instanceState) queueing(now time.Time) bool {
+	return s.load(now) >= float64(max(1, s.Slots))
 }
 
 // ramp returns the part of its usual share that the instance gets, from minRamp
