Settings by dissemination, status reports, and one derivation of child keys

Two watchers per failure domain now do, the rest fetch changes from peers; each node pushes its summary to the reporters of its domain. The keys of child calls were derived in two places (call.ChildLineage and idempotency.DeriveKey); the latter is gone, its test keeps the check of issue times, and the original status of a completed key now reaches the caller. The owners' list no longer copies the whole members table five times a second.

--- a/internal/idempotency/connect_test.go
+++ b/internal/idempotency/connect_test.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/peerv1"
@@ -79,9 +80,9 @@
 		assert.Equal(t, resultcode.From(managers[1].Acquire(ctx, testService, key, uuid.New())).Code, resultcode.KeyInProgress)
 		managers[0].Complete(ctx, testService, key, attempt, resultcode.Run, 402)
 		await(t, func() bool { return managers[0].Stats().ReportsWaiting == 0 })
-		status, ok := OriginalStatus(managers[1].Acquire(ctx, testService, key, uuid.New()))
-		assert.Assert(t, ok)
-		assert.Equal(t, status, 402)
+		var completed interface{ OriginalStatus() int }
+		assert.Assert(t, errors.As(managers[1].Acquire(ctx, testService, key, uuid.New()), &completed))
+		assert.Equal(t, completed.OriginalStatus(), 402)
 	}
 	assert.Equal(t, len(owners), 2)
 	assert.NilError(t, managers[1].Leave(ctx))
--- a/internal/idempotency/core_test.go
+++ b/internal/idempotency/core_test.go
@@ -154,23 +154,12 @@
 	})
 }
 
-// Guards against derived keys that differ between retries of the parent, that
-// collide between children, or that lose the parent's issue time.
-func TestDeriveKey(t *testing.T) {
-	parent := keyAt(123_456)
-	child := DeriveKey(parent, "ledger", "entry", 1)
-	issued, err := IssueTime(child)
+// Guards against a key that is no UUIDv7: it has no issue time, on which every
+// decision about ownership rests.
+func TestIssueTime(t *testing.T) {
+	issued, err := IssueTime(keyAt(123_456))
 	assert.NilError(t, err)
 	assert.Equal(t, issued, int64(123_456))
-	assert.Equal(t, child, DeriveKey(parent, "ledger", "entry", 1))
-	different := map[uuid.UUID]bool{child: true}
-	for _, other := range []uuid.UUID{
-		DeriveKey(parent, "ledger", "entry", 2), DeriveKey(parent, "ledgere", "ntry", 1),
-		DeriveKey(parent, "entry", "ledger", 1), DeriveKey(keyAt(123_456), "ledger", "entry", 1), parent,
-	} {
-		assert.Assert(t, !different[other])
-		different[other] = true
-	}
 	_, err = IssueTime(uuid.New())
 	assert.Equal(t, resultcode.From(err).Code, resultcode.InvalidKey)
 }
--- a/internal/idempotency/key.go
+++ b/internal/idempotency/key.go
@@ -1,7 +1,6 @@
 package idempotency
 
 import (
-	"crypto/sha256"
 	"encoding/binary"
 
 	"github.com/google/uuid"
@@ -23,26 +22,3 @@
 func issuedAt(key uuid.UUID) int64 {
 	return int64(binary.BigEndian.Uint64(key[:8]) >> 16)
 }
-
-// DeriveKey returns the key of a child call that carries none. Parent is the
-// parent's key or, when it has none, the root request id; both are UUIDv7. The
-// same child call of a retried parent gets the same key and the same issue time.
-func DeriveKey(parent uuid.UUID, service, kind string, ordinal uint64) uuid.UUID {
-	hash := sha256.New()
-	hash.Write(parent[:])
-	for _, name := range []string{service, kind} {
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(name)))
-		hash.Write(length[:])
-		hash.Write([]byte(name))
-	}
-	var number [8]byte
-	binary.BigEndian.PutUint64(number[:], ordinal)
-	hash.Write(number[:])
-	var key uuid.UUID
-	copy(key[:], hash.Sum(nil))
-	copy(key[:6], parent[:6])
-	key[6] = key[6]&0x0f | keyVersion<<4
-	key[8] = key[8]&0x3f | 0x80
-	return key
-}
--- a/internal/idempotency/manager_guard.go
+++ b/internal/idempotency/manager_guard.go
@@ -6,7 +6,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
 	"github.com/mustardwing/mustardwing/internal/peerv1"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
@@ -175,12 +174,7 @@
 	return "the upstream answered before"
 }
 
-// OriginalStatus returns the HTTP status of the first execution from a
-// KeyCompleted error of Acquire.
-func OriginalStatus(err error) (status int, ok bool) {
-	var completed *completedStatus
-	if !errors.As(err, &completed) {
-		return 0, false
-	}
-	return completed.status, true
+// OriginalStatus returns the HTTP status of the first execution.
+func (e *completedStatus) OriginalStatus() int {
+	return e.status
 }
--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -25,9 +25,15 @@
 	}
 }
 
-// settingsChanged applies a new revision of the settings.
-func (n *Node) settingsChanged(revision int64) {
+// settingsChanged brings a new revision of the settings to the data path.
+func (n *Node) settingsChanged(int64) {
 	n.upstream.Reconfigure()
 	n.router.Reconfigure()
-	n.members.UpdateLocal(func(a *membership.Announcement) { a.SettingsRevision = revision })
+	n.ownership.reconfigure(n.keySettings)
+}
+
+// settingsRefused reports objects of the settings that cannot be applied.
+func (n *Node) settingsRefused(err error) {
+	n.telemetry.Metrics.Counter("settings_refused").Inc(1)
+	n.log.Warn().Err(err).Msg("settings refused in part")
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -21,6 +21,19 @@
 	return c.node.members.SyncMembers(ctx, r)
 }
 
+// GetSettings implements peerv1.PeerServiceHandler.
+func (c *control) GetSettings(ctx context.Context, r *connect.Request[peerv1.GetSettingsRequest]) (*connect.Response[peerv1.GetSettingsResponse], error) {
+	return c.node.syncer.GetSettings(ctx, r)
+}
+
+// PushStatus implements peerv1.PeerServiceHandler.
+func (c *control) PushStatus(ctx context.Context, r *connect.Request[peerv1.PushStatusRequest]) (*connect.Response[peerv1.PushStatusResponse], error) {
+	if c.node.reporter == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this node has no platform to report to"))
+	}
+	return c.node.reporter.PushStatus(ctx, r)
+}
+
 // Identify implements peerv1.PeerServiceHandler.
 func (c *control) Identify(context.Context, *connect.Request[peerv1.IdentifyRequest]) (*connect.Response[peerv1.IdentifyResponse], error) {
 	self := c.node.members.Self()
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -12,7 +12,8 @@
 	SetInstances(service string, all []balancer.Instance)
 }
 
-// directory turns membership events into the instances of each service.
+// directory keeps the live members of each service from membership events and
+// publishes those that take calls.
 type directory struct {
 	sink instanceSink
 
@@ -34,18 +35,31 @@
 	if e.Previous != nil && e.Previous.Service != service {
 		d.remove(e.Previous.Service, e.Previous.ID)
 	}
-	if usable(e.Current) {
+	if live(e.Current) && service != "" {
 		d.add(service, e.Current)
 	} else {
 		d.remove(service, e.Current.ID)
 	}
 }
 
-// usable reports whether a member may take calls. A suspect one may: its calls
+// live reports whether a member counts as running. A suspect one does: its calls
 // fail soon enough if it is gone, and a lost packet must not take it out.
-func usable(m membership.Member) bool {
-	reachable := m.State == membership.Alive || m.State == membership.Suspect
-	return reachable && m.Service != "" && m.UpstreamReady
+func live(m membership.Member) bool {
+	return m.State == membership.Alive || m.State == membership.Suspect
+}
+
+// live returns the members of a service that run and do not drain, whether or
+// not their upstreams take calls at the moment.
+func (d *directory) live(service string) []membership.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var members []membership.Member
+	for _, m := range d.services[service] {
+		if !m.Draining {
+			members = append(members, m)
+		}
+	}
+	return members
 }
 
 func (d *directory) add(service string, m membership.Member) {
@@ -68,6 +82,9 @@
 	members := d.services[service]
 	instances := make([]balancer.Instance, 0, len(members))
 	for _, m := range members {
+		if !m.UpstreamReady {
+			continue
+		}
 		instances = append(instances, balancer.Instance{
 			ID:            m.ID,
 			Incarnation:   m.Incarnation,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,8 @@
 	"github.com/mustardwing/mustardwing/internal/platform"
 	"github.com/mustardwing/mustardwing/internal/retry"
 	"github.com/mustardwing/mustardwing/internal/router"
+	"github.com/mustardwing/mustardwing/internal/settingsync"
+	"github.com/mustardwing/mustardwing/internal/status"
 	"github.com/mustardwing/mustardwing/internal/telemetry"
 	"github.com/mustardwing/mustardwing/internal/upstream"
 )
@@ -43,6 +45,10 @@
 	upstream   *upstream.Upstream
 	directory  *directory
 	ownership  *ownership
+	syncer     *settingsync.Syncer
+	// reporter is nil without a platform.
+	reporter *status.Reporter
+	calls    *peer.Counts
 
 	// callers counts calls that enter the system here, and work those that the
 	// upstream beside this node runs. Either may drain without the other.
@@ -50,9 +56,6 @@
 	work    *drain.State
 
 	servers []*http.Server
-	// running ends when the node closes.
-	running context.Context
-	cancel  context.CancelFunc
 }
 
 // New opens the listeners and builds a node that serves nothing yet.
@@ -67,18 +70,18 @@
 		telemetry:  t,
 		listeners:  opened,
 		settings:   newSettingsInForce(),
+		calls:      &peer.Counts{},
 		peerClient: peer.NewClient(peer.ClientConfig{}),
 		callers:    drain.NewState(nil),
 		work:       drain.NewState(nil),
 	}
-	n.running, n.cancel = context.WithCancel(context.Background())
 	n.peers = newPeerClients(n.peerClient.ControlClient())
 	if config.Platform.URL != "" {
 		client := platform.NewClient(platform.ClientConfig{URL: config.Platform.URL, Timeout: config.Platform.Timeout})
 		n.store = platform.Limit(client, platform.LimitConfig{})
 	}
 	n.ownership = &ownership{newManager: n.newOwnershipManager}
-	if err := n.buildMembership(); err != nil {
+	if err := n.buildControl(); err != nil {
 		opened.close()
 		return nil, err
 	}
@@ -87,6 +90,37 @@
 	return n, nil
 }
 
+// buildControl makes the parts that nodes run among themselves.
+func (n *Node) buildControl() error {
+	if err := n.buildMembership(); err != nil {
+		return err
+	}
+	n.settings.changed = n.settingsChanged
+	n.settings.refused = n.settingsRefused
+	syncer, err := settingsync.New(settingsync.Config{
+		Store:   n.store,
+		Members: n.members,
+		Client:  n.peers.at,
+		Apply:   n.settings.apply,
+		Logger:  n.log,
+	})
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	n.syncer = syncer
+	if n.store == nil {
+		return nil
+	}
+	n.reporter, err = status.New(status.Config{
+		Store:   n.store,
+		Members: n.members,
+		Client:  n.peers.at,
+		Provide: n.summary,
+		Logger:  n.log,
+	})
+	return errors.Wrap(err, "status")
+}
+
 func (n *Node) buildMembership() error {
 	addresses := n.Addresses()
 	peerAddress := addresses.Peer
@@ -138,7 +172,6 @@
 		Scope:    n.telemetry.Metrics,
 	})
 	n.upstream.OnChange(n.upstreamChanged)
-	n.settings.onChange(n.settingsChanged)
 }
 
 func (n *Node) buildServers() {
@@ -163,6 +196,7 @@
 			Ledger:   ledger,
 			Guard:    n.ownership,
 			Drain:    n.work,
+			Counts:   n.calls,
 			Control:  n.controlHandler(),
 			Logger:   n.log,
 			Scope:    n.telemetry.Metrics,
@@ -194,10 +228,10 @@
 	n.serve(n.servers[1], l.loopback)
 	n.serve(n.servers[2], l.peer)
 	n.serve(n.servers[3], l.admin)
-	n.settings.notify()
 	n.members.Start()
-	if n.store != nil {
-		go n.watchSettings(n.running)
+	n.syncer.Start()
+	if n.reporter != nil {
+		n.reporter.Start()
 	}
 	n.log.Info().Interface("addresses", n.Addresses()).Msg("node started")
 }
@@ -229,7 +263,10 @@
 			_ = s.Close()
 		}
 	}
-	n.cancel()
+	_ = n.syncer.Close()
+	if n.reporter != nil {
+		_ = n.reporter.Close()
+	}
 	n.ownership.close()
 	n.upstream.Close()
 	_ = n.members.Close()
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -7,7 +7,6 @@
 	"github.com/google/uuid"
 
 	"github.com/mustardwing/mustardwing/internal/idempotency"
-	"github.com/mustardwing/mustardwing/internal/membership"
 	"github.com/mustardwing/mustardwing/internal/peerv1"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 	"github.com/mustardwing/mustardwing/internal/settings"
@@ -48,11 +47,28 @@
 	}()
 }
 
+// reconfigure passes new settings to the manager that runs.
+func (o *ownership) reconfigure(resolve func(service string) settings.Values) {
+	o.mu.Lock()
+	service, manager := o.service, o.manager
+	o.mu.Unlock()
+	if manager == nil {
+		return
+	}
+	values := resolve(service)
+	manager.Configure(values.KeyWindow, values.IsolationLimit)
+}
+
+// keySettings returns the settings in force for a service's keys.
+func (n *Node) keySettings(service string) settings.Values {
+	return n.settings.Resolve(settings.Path{Region: n.config.Region, Service: service})
+}
+
 // newOwnershipManager returns a manager that finds the other members of the
 // service in the members table.
 func (n *Node) newOwnershipManager(service string) *idempotency.Manager {
 	self := n.members.Self()
-	values := n.settings.Resolve(settings.Path{Region: n.config.Region, Service: service})
+	values := n.keySettings(service)
 	return idempotency.NewManager(idempotency.Config{
 		Service: service,
 		Self: idempotency.Member{
@@ -72,11 +88,8 @@
 // liveOwners lists the members of a service that may own keys.
 func (n *Node) liveOwners(service string) []*peerv1.OwnerMember {
 	var owners []*peerv1.OwnerMember
-	for _, m := range n.members.Members() {
-		live := m.State == membership.Alive || m.State == membership.Suspect
-		if live && m.Service == service && !m.Draining {
-			owners = append(owners, &peerv1.OwnerMember{Id: m.ID, Incarnation: m.Incarnation, PeerAddress: m.Addresses.Peer})
-		}
+	for _, m := range n.directory.live(service) {
+		owners = append(owners, &peerv1.OwnerMember{Id: m.ID, Incarnation: m.Incarnation, PeerAddress: m.Addresses.Peer})
 	}
 	return owners
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -1,18 +1,20 @@
 package node
 
 import (
-	"sync"
+	"github.com/pkg/errors"
 
 	"github.com/mustardwing/mustardwing/internal/settings"
+	"github.com/mustardwing/mustardwing/internal/settingsync"
 )
 
 // settingsInForce gives the data path the settings tree of the moment and tells
 // the other parts about new revisions.
 type settingsInForce struct {
 	holder *settings.Holder
-
-	mu        sync.Mutex
-	listeners []func(revision int64)
+	// changed is called after each revision that came into force.
+	changed func(revision int64)
+	// refused is called with the error of objects that were refused.
+	refused func(err error)
 }
 
 func newSettingsInForce() *settingsInForce {
@@ -29,17 +31,43 @@
 	return s.holder.Tree().MatchKind(service, method, path)
 }
 
-func (s *settingsInForce) onChange(f func(revision int64)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listeners = append(s.listeners, f)
+// apply implements settingsync.Apply. An object that is refused keeps its last
+// good state while the rest of the revision comes into force, so a refusal is
+// reported but does not fail the update.
+func (s *settingsInForce) apply(u settingsync.Update) error {
+	objects := make([]settings.Object, 0, len(u.Changes))
+	for _, c := range u.Changes {
+		object := settings.Object{Key: c.Key, Revision: c.Revision, Value: c.Value}
+		if c.Deleted {
+			object.Value = nil
+		}
+		objects = append(objects, object)
+	}
+	err := s.put(u, objects)
+	var refusal *settings.RefusedError
+	if errors.As(err, &refusal) {
+		s.refused(err)
+		err = nil
+	}
+	if err != nil {
+		return err
+	}
+	s.changed(u.Revision)
+	return nil
+}
+
+func (s *settingsInForce) put(u settingsync.Update, objects []settings.Object) error {
+	if u.Snapshot {
+		return s.holder.ApplySnapshot(u.Revision, objects)
+	}
+	return s.holder.Apply(u.Revision, objects)
 }
 
-func (s *settingsInForce) notify() {
-	s.mu.Lock()
-	listeners := s.listeners
-	s.mu.Unlock()
-	for _, f := range listeners {
-		f(s.holder.Revision())
+// refusals returns one line for each object whose newest state was refused.
+func (s *settingsInForce) refusals() []string {
+	var lines []string
+	for _, r := range s.holder.Refusals() {
+		lines = append(lines, r.Key+": "+r.Err.Error())
 	}
+	return lines
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -25,7 +25,7 @@
 
 func (n *Node) status() any {
 	state := n.upstream.State()
-	s := Status{
+	return Status{
 		ID:               n.config.NodeID,
 		Region:           n.config.Region,
 		FailureDomain:    n.config.FailureDomain,
@@ -36,11 +36,8 @@
 		Load:             n.upstream.Admission().Load(),
 		Members:          len(n.members.Members()),
 		SettingsRevision: n.settings.holder.Revision(),
+		SettingsRefused:  n.settings.refusals(),
 	}
-	for _, r := range n.settings.holder.Refusals() {
-		s.SettingsRefused = append(s.SettingsRefused, r.Key+": "+r.Err.Error())
-	}
-	return s
 }
 
 // memberView is one row of the members table on the admin listener.
--- /dev/null
+++ b/internal/peer/counts.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"sync/atomic"
+
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Counts holds the calls that a node answered and shed since its start, by
+// priority. It is safe for concurrent use.
+type Counts struct {
+	answered, shed [call.PriorityCount]atomic.Uint64
+}
+
+// Answered returns the calls of a priority that the upstream answered.
+func (c *Counts) Answered(p call.Priority) uint64 {
+	return c.answered[p].Load()
+}
+
+// Shed returns the calls of a priority that were refused for want of capacity
+// or time.
+func (c *Counts) Shed(p call.Priority) uint64 {
+	return c.shed[p].Load()
+}
+
+func (c *Counts) count(p call.Priority, code resultcode.Code) {
+	switch code {
+	case resultcode.OK:
+		c.answered[p].Add(1)
+	case resultcode.Overloaded, resultcode.DeadlineInsufficient:
+		c.shed[p].Add(1)
+	}
+}
--- a/internal/peer/execution.go
+++ b/internal/peer/execution.go
@@ -74,6 +74,7 @@
 		return e.relayShort(w, response)
 	}
 	e.handler.counts.Count(resultcode.OK)
+	e.handler.config.Counts.count(e.metadata.Priority, resultcode.OK)
 	e.handler.writeHeader(w, response, e.outcome)
 	e.relayBody(w, response)
 	return nil
@@ -91,6 +92,7 @@
 		return failure
 	}
 	e.handler.counts.Count(resultcode.OK)
+	e.handler.config.Counts.count(e.metadata.Priority, resultcode.OK)
 	e.handler.writeHeader(w, response, e.outcome)
 	if _, err := w.Write(body); err != nil && len(body) > 0 {
 		panic(http.ErrAbortHandler)
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -32,6 +32,8 @@
 	// Guard permits non-idempotent calls; nil refuses them.
 	Guard idempotency.Guard
 	Drain *drain.State
+	// Counts receives the calls by priority; it may be nil.
+	Counts *Counts
 	// Control serves everything that is not a forwarded call: the connect-go
 	// PeerService handler.
 	Control http.Handler
@@ -56,6 +58,9 @@
 	if config.Tracer == nil {
 		config.Tracer = relay.NoTracer()
 	}
+	if config.Counts == nil {
+		config.Counts = &Counts{}
+	}
 	return &Handler{config: config, counts: relay.NewCounters(config.Scope, "peer_calls")}
 }
 
@@ -90,6 +95,7 @@
 	ctx, cancel := context.WithDeadline(ctx, m.Deadline)
 	defer cancel()
 	if err := h.admitAndRun(ctx, w, r, m); err != nil {
+		h.config.Counts.count(m.Priority, resultcode.From(err).Code)
 		h.refuse(w, err)
 	}
 }
