Balancer: probes below the level are the most important of the refused calls

Cause: 1 % of the calls below every level went through by chance. Change: one probe per 50 ms, at least as important as the calls refused in the interval before.

--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -187,6 +187,34 @@
 	assert.Equal(t, s.state, running)
 }
 
+// Guards against work for calls that a service below will shed, against a level
+// that hits other kinds or calls in the middle of a chain, and against one that
+// outlives its cause.
+func TestCallsShedBelowAreRefusedOnArrival(t *testing.T) {
+	w := &world{now: start, core: newCore(Config{Slots: 8, QueuePerSlot: 1, QueueTimeout: time.Second, LongShare: 0.5})}
+	low := Request{Kind: "search", Priority: call.Normal, Rank: 1 << 28}
+	for range 100 {
+		w.now = w.now.Add(time.Millisecond)
+		s := w.core.enter(w.now, Request{Kind: "search", Priority: call.Normal, Rank: 1 << 30})
+		if s.state == running {
+			s.childShed = true
+			w.core.release(w.now, s, resultcode.Unknown)
+		}
+	}
+	w.core.enter(w.now, low) // The probe that is due.
+	assert.Equal(t, w.core.enter(w.now, low).state, refused)
+	for _, free := range []Request{
+		{Kind: "photo", Priority: call.Normal},
+		{Kind: "search", Priority: call.Critical},
+		{Kind: "search", Priority: call.Normal, Rank: 1 << 28, Depth: 1},
+	} {
+		assert.Equal(t, w.core.enter(w.now, free).state, running, "%+v", free)
+	}
+	w.now = w.now.Add(2 * time.Second)
+	w.core.enter(w.now, low)
+	assert.Equal(t, w.core.enter(w.now, low).state, running)
+}
+
 // Guards against a state that stays bad after a surge: a level, a learned service
 // time or a queue that keeps refusing calls when the load is light again.
 func TestNothingStaysBadAfterASurge(t *testing.T) {
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -283,6 +283,28 @@
 	})
 }
 
+// Guards against probes that are less important than the calls refused meanwhile:
+// an instance would take them while it refuses the others.
+func TestLevelProbesAreTheMostImportantOfTheRefused(t *testing.T) {
+	c := newTestCore(1, 4)
+	now := start
+	sent := make(map[call.Priority]int)
+	for i := range 4000 {
+		now = now.Add(time.Millisecond)
+		for _, s := range c.scope {
+			s.reported(now, admission.Load{Slots: 35, Level: admission.Level{Priority: call.Critical}})
+		}
+		p := call.Priority(i % 3)
+		choice, err := c.pick(now, PickRequest{Kind: "list", Priority: p, Rank: c.random.Uint32()})
+		if err == nil {
+			sent[p]++
+			c.done(now, choice, Feedback{Code: resultcode.Overloaded})
+		}
+	}
+	assert.Assert(t, sent[call.High] > 20 && sent[call.High] <= 80, "%v", sent)
+	assert.Assert(t, sent[call.Normal]+sent[call.Background] <= 1, "%v", sent)
+}
+
 func assertAllShed(t *rapid.T, c *core, now time.Time, r PickRequest) {
 	for _, s := range c.scope {
 		assert.Assert(t, r.level().Below(s.knownLevel(now)), "%+v was refused while %s has level %+v", r, s.ID, s.knownLevel(now))
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -10,10 +10,6 @@
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
-// levelProbeShare is the part of the calls below every known level that is let
-// through, so that a level that fell is noticed before it expires.
-const levelProbeShare = 0.01
-
 // core chooses instances. It does no I/O, reads no clock and is not safe for
 // concurrent use; Balancer adds locking.
 type core struct {
@@ -25,6 +21,7 @@
 	scope      []*instanceState
 	kinds      *kindTable
 	hedges     hedgeLimit
+	probe      levelProbe
 	setAside   int
 	evaluated  time.Time
 	roundRobin uint64
@@ -102,7 +99,7 @@
 		return Choice{}, resultcode.New(resultcode.NoInstance, "no ready instance that was not tried")
 	}
 	if len(c.admitting) == 0 {
-		if c.random.Float64() >= levelProbeShare {
+		if !c.probe.allow(now, r.level()) {
 			return Choice{}, resultcode.New(resultcode.Overloaded,
 				"all instances shed calls of priority %s and this rank", r.Priority)
 		}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -201,6 +201,24 @@
 	assert.Equal(t, l.Close(id), call.Allowance{})
 }
 
+// Guards against retries above a call that was shed below: the same work would be
+// shed again.
+func TestForfeitStopsRetriesAbove(t *testing.T) {
+	l := NewLedger()
+	id := uuid.New()
+	l.Open(id, call.Allowance{Retries: 2, Moves: 3})
+	l.Forfeit(id)
+	o := Outcome{
+		Idempotent: true, Replayable: true, Untried: 3, Attempts: 1, Remaining: time.Minute,
+		Sent: call.Allowance{Retries: 2, Moves: 3}, Left: call.Allowance{Retries: 1, Moves: 3},
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	assert.Equal(t, Decide(o, random).Action, Retry)
+	o.Spent = l.Close(id)
+	assert.Equal(t, o.Spent, call.Allowance{Retries: 2})
+	assert.Equal(t, Decide(o, random).Action, Stop)
+}
+
 // Guards against hedges of calls that must not run twice or that nothing pays for.
 func TestMayHedge(t *testing.T) {
 	good := HedgeRequest{
