Ingress: a stalled upload no longer holds its connection

After a response, net/http reads up to 256 KiB of the request body without a time limit, and when a read of the body is still going on it clears the read deadline that was set before.

Change: when a call is over, a read of its body that goes on is ended, later ones fail, and the rest is read for at most 1 s.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -71,6 +71,7 @@
 func (h *CallerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, span := relay.StartSpan(r.Context(), h.front.config.Tracer, "mustardwing.caller", r.Header)
 	defer span.End()
+	defer limitLeftover(w, r)
 	hints, err := h.front.accept(w, r)
 	if err == nil {
 		err = h.front.config.Drain.Enter()
@@ -214,17 +215,17 @@
 	}
 	defer limitIO(ctx, w, r.ContentLength != 0).release()
 	request := peer.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength}
-	source := newCallerBody(r.Body, values.MaxBodyBytes)
+	source := newLimitedBody(r.Body, values.MaxBodyBytes)
 	body := router.NewBody(source, r.ContentLength)
 	outgoing, response, err := f.config.Router.Start(ctx, m, request, body, values.Hedge)
 	if err != nil {
 		settle(parent, outgoing.Finish())
-		discardShort(w, r, source)
-		keepConnection(w, source)
+		discardShort(w, r)
+		keepConnection(w, r)
 		f.refuse(w, m.RequestID, err)
 		return
 	}
-	keepConnection(w, source)
+	keepConnection(w, r)
 	f.answer(w, r, m, outgoing, response, parent)
 }
 
--- a/internal/ingress/loopback.go
+++ b/internal/ingress/loopback.go
@@ -46,6 +46,7 @@
 	}
 	ctx, span := relay.StartSpan(r.Context(), h.front.config.Tracer, "mustardwing.loopback", r.Header)
 	defer span.End()
+	defer limitLeftover(w, r)
 	hints, err := h.front.accept(w, r)
 	if err != nil {
 		h.front.refuse(w, hints.RequestID, err)
