Router: retries, moves and hedges decided by package retry

Change: the router uses the retry package; a child call refused for want of capacity or time forfeits its parent's retries and teaches admission (Slot.ChildShed). What an attempt reports as not spent is given back before the decision about the next one. Ruled out on the way: with the give-back after the decision, an idempotent child call was not retried (TestDerivedKeys 2 attempts, want 3); with the hedge limit of the balancer, TestHedge waited for its timeout, since it replaces the delay and sends few calls; the override now covers delay and limit, the test is unchanged.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -199,6 +199,8 @@
 type child interface {
 	// settle reports what the call spent.
 	settle(spent call.Allowance)
+	// shed reports that the call was refused for want of capacity or time.
+	shed()
 }
 
 // serve carries out a call and answers it.
@@ -220,6 +222,7 @@
 	outgoing, response, err := f.config.Router.Start(ctx, m, request, body, values.Hedge)
 	if err != nil {
 		settle(parent, outgoing.Finish())
+		noteShed(parent, resultcode.From(err).Code)
 		discardShort(w, r)
 		keepConnection(w, r)
 		f.refuse(w, m.RequestID, err)
@@ -235,6 +238,12 @@
 	}
 }
 
+func noteShed(parent child, code resultcode.Code) {
+	if parent != nil && (code == resultcode.Overloaded || code == resultcode.DeadlineInsufficient) {
+		parent.shed()
+	}
+}
+
 // answer relays a response; a body that ends early aborts the connection.
 func (f *front) answer(w http.ResponseWriter, r *http.Request, m call.Metadata, outgoing *router.Call, response *peer.Response, parent child) {
 	finished := false
--- a/internal/ingress/loopback.go
+++ b/internal/ingress/loopback.go
@@ -90,7 +90,7 @@
 	defer context.AfterFunc(parent.Abandoned, cancel)()
 	m, values := h.inherit(r, hints, parent)
 	m.Allowance = h.config.Ledger.Take(parent.Attempt)
-	h.front.serve(ctx, w, r, m, values, &share{ledger: h.config.Ledger, parent: parent.Attempt, taken: m.Allowance})
+	h.front.serve(ctx, w, r, m, values, &share{ledger: h.config.Ledger, parent: parent, taken: m.Allowance})
 }
 
 // inherit returns the metadata of a child call. Only Service, Kind, Key and
@@ -114,10 +114,17 @@
 // share is the part of a parent's allowance that a child call has taken.
 type share struct {
 	ledger *retry.Ledger
-	parent uuid.UUID
+	parent *upstream.Parent
 	taken  call.Allowance
 }
 
 func (s *share) settle(spent call.Allowance) {
-	s.ledger.Return(s.parent, s.taken, spent)
+	s.ledger.Return(s.parent.Attempt, s.taken, spent)
+}
+
+// shed spends what retries the parent has left, since another attempt would
+// meet the same overload, and teaches admission which calls fail below.
+func (s *share) shed() {
+	s.ledger.Forfeit(s.parent.Attempt)
+	s.parent.ChildShed()
 }
--- a/internal/peer/execution.go
+++ b/internal/peer/execution.go
@@ -46,7 +46,7 @@
 // open enters the attempt in the record of running attempts.
 func (e *execution) open(caller context.Context) error {
 	abandoned, abandon := context.WithCancel(context.WithoutCancel(caller))
-	if _, fresh := e.handler.config.Running.Open(abandoned, e.metadata); !fresh {
+	if _, fresh := e.handler.config.Running.Open(abandoned, e.metadata, e.slot.ChildShed); !fresh {
 		abandon()
 		e.permitted = false
 		return resultcode.New(resultcode.KeyInProgress, "attempt %s runs already", e.metadata.Attempt)
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	slot, err := h.config.Upstream.Admission().Acquire(ctx, admission.Request{
-		Kind: m.Kind, Priority: m.Priority, Rank: m.Rank(), Deadline: m.Deadline,
+		Kind: m.Kind, Priority: m.Priority, Rank: m.Rank(), Depth: m.Depth, Deadline: m.Deadline,
 	})
 	if err != nil {
 		return notAdmitted(ctx, err)
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -11,6 +11,7 @@
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/peer"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/retry"
 )
 
 // keyReleaseDelay is some round trips between failure domains.
@@ -29,9 +30,12 @@
 	body     *Body
 	hedge    bool
 
-	budget   budget
+	account  *retry.Account
 	excluded []string
 	lowest   bool
+	// attemptCount counts attempts other than hedges, and repeats those after the
+	// first under the baseline.
+	attemptCount, repeats int
 	// refusal is the not-run outcome that the next attempt is a move after.
 	refusal *resultcode.Error
 	// earlier is a failure of an earlier attempt that may have run the call.
@@ -50,7 +54,7 @@
 		request:  request,
 		body:     body,
 		hedge:    hedge && m.Idempotent && body.Empty() && !r.config.Baseline,
-		budget:   budget{left: m.Allowance, baseline: r.config.Baseline},
+		account:  retry.NewAccount(m.Allowance),
 	}
 	found, err := r.find(m.Service)
 	if err != nil {
@@ -72,7 +76,7 @@
 		if err != nil {
 			return outcome{}, c.conclude(resultcode.From(err))
 		}
-		if !c.tryAgain(ctx, o) {
+		if !c.tryAgain(ctx, &o) {
 			return c.last(o)
 		}
 	}
@@ -80,32 +84,26 @@
 
 // next picks an instance and sends one attempt, hedged where that is allowed.
 func (c *Call) next(ctx context.Context) (outcome, error) {
-	choice, err := c.pick()
+	choice, err := c.pick(false)
 	if err != nil && c.refusal != nil {
-		// Every instance has refused; the move was not made.
-		c.budget.refund(move)
+		// The other instances refuse this level too; the move was not made.
 		return outcome{}, c.refusal
 	}
 	if err != nil {
 		return outcome{}, err
 	}
+	c.attemptCount++
 	if delay, ok := c.hedgeDelay(); ok {
 		return c.sendHedged(ctx, choice, delay), nil
 	}
-	return c.send(ctx, choice, c.budget.pass()), nil
+	return c.send(ctx, choice, c.account.Send()), nil
 }
 
-func (c *Call) pick() (balancer.Choice, error) {
-	choice, err := c.balancer.Pick(c.router.config.Now(), balancer.PickRequest{
+func (c *Call) pick(hedge bool) (balancer.Choice, error) {
+	return c.balancer.Pick(c.router.config.Now(), balancer.PickRequest{
 		Kind: c.metadata.Kind, Priority: c.metadata.Priority, Rank: c.metadata.Rank(),
-		Exclude: c.excluded, LowestLevel: c.lowest,
+		Exclude: c.excluded, LowestLevel: c.lowest, Hedge: hedge,
 	})
-	if err != nil && c.refusal == nil && len(c.excluded) > 0 && resultcode.From(err).Code == resultcode.NoInstance {
-		// A retry, unlike a move, may go to an instance that was tried.
-		c.excluded = c.excluded[:0]
-		return c.pick()
-	}
-	return choice, err
 }
 
 // send makes one attempt. It does not touch the budget, so that a hedge can run
@@ -130,43 +128,43 @@
 }
 
 // tryAgain decides about another attempt, pays for it and ends this one.
-func (c *Call) tryAgain(ctx context.Context, o outcome) bool {
+func (c *Call) tryAgain(ctx context.Context, o *outcome) bool {
 	if ctx.Err() != nil || !c.router.config.Now().Before(c.metadata.Deadline) {
 		return false
 	}
-	next := decide(o, c.metadata.Idempotent)
-	if next == finish && c.ownKeyInProgress(o) {
-		next = move
-	}
-	if next == finish || !c.budget.affords(next) || !c.canResend(o) {
+	c.giveBack(o)
+	next := c.decide(*o)
+	if next.Action == retry.Stop || !c.canResend(*o) || !c.charge(next.Action) {
 		return false
 	}
-	c.budget.pay(next)
-	if o.code() == resultcode.KeyInProgress {
-		sleep(ctx, keyReleaseDelay)
-	}
-	switch next {
-	case move:
+	c.discard(*o)
+	c.prepare(next, *o)
+	sleep(ctx, next.Backoff)
+	return true
+}
+
+// prepare sets up the next attempt.
+func (c *Call) prepare(next retry.Decision, o outcome) {
+	c.lowest = next.LowestLevel
+	if next.Action == retry.Move {
 		if o.code() != resultcode.KeyInProgress {
 			c.refusal = o.failure
 		}
 		c.router.moves.Inc(1)
-	case again:
-		c.refusal = nil
-		c.router.retries.Inc(1)
+		return
 	}
-	c.lowest = o.code() == resultcode.Overloaded
-	c.discard(o)
-	return true
-}
-
-// ownKeyInProgress reports that the key's owner has not yet heard that the
-// previous attempt of this call was not run, which it is told in the background.
-func (c *Call) ownKeyInProgress(o outcome) bool {
-	return o.code() == resultcode.KeyInProgress && c.refusal != nil
+	c.refusal = nil
+	if c.balancer.Ready(c.excluded) == 0 {
+		// A retry, unlike a move, may go to an instance that was tried.
+		c.excluded = c.excluded[:0]
+	}
+	c.router.retries.Inc(1)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -207,10 +205,21 @@
 
 // settle accounts for the end of an attempt.
 func (c *Call) settle(o outcome) {
-	c.budget.settle(o.passed, o.spent())
+	c.giveBack(&o)
 	c.balancer.Done(c.router.config.Now(), o.choice, o.feedback())
 }
 
+// giveBack returns to the account what the attempt reported as not spent. What
+// it does not report counts as spent.
+func (c *Call) giveBack(o *outcome) {
+	spent, known := o.reported()
+	if o.accounted || !known {
+		return
+	}
+	o.accounted = true
+	c.account.Settle(o.passed, spent)
+}
+
 // last returns the outcome that ends the call.
 func (c *Call) last(o outcome) (outcome, *resultcode.Error) {
 	if o.failure == nil {
@@ -266,5 +275,5 @@
 		c.final.response.Close()
 		_ = c.final.view.Close()
 	}
-	return c.budget.spent
+	return c.account.Spent()
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -37,7 +37,8 @@
 	// Baseline retries three times at each hop regardless of the allowance,
 	// chooses round robin and never hedges.
 	Baseline bool
-	// HedgeDelay replaces the balancers' hedge delay; nil keeps it.
+	// HedgeDelay replaces the hedge delay of the balancers and their limit on
+	// hedges; nil keeps both.
 	HedgeDelay func(kind string) (time.Duration, bool)
 	// Random returns the random source of one balancer; nil takes a seed from
 	// the runtime.
--- a/internal/router/hedge.go
+++ b/internal/router/hedge.go
@@ -6,18 +6,36 @@
 
 	"github.com/mustardwing/mustardwing/internal/balancer"
 	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/retry"
 )
 
 // hedgeDelay returns when to send a second attempt beside the first. Only the
 // first attempt of a call is hedged.
 func (c *Call) hedgeDelay() (time.Duration, bool) {
-	if !c.hedge || len(c.excluded) > 0 || !c.budget.affords(again) {
+	if !c.hedge {
 		return 0, false
 	}
+	now := c.router.config.Now()
+	delay, known := c.delayOfKind(now)
+	return delay, retry.MayHedge(retry.HedgeRequest{
+		Enabled:    known,
+		Idempotent: c.metadata.Idempotent,
+		Replayable: true,
+		Attempts:   c.attemptCount,
+		// One instance is about to be tried and is not excluded yet.
+		Untried:   c.balancer.Ready(c.excluded) - 1,
+		Delay:     delay,
+		Remaining: c.metadata.Remaining(now),
+		Left:      c.account.Left(),
+	})
+}
+
+func (c *Call) delayOfKind(now time.Time) (time.Duration, bool) {
 	if own := c.router.config.HedgeDelay; own != nil {
 		return own(c.metadata.Kind)
 	}
-	return c.balancer.HedgeDelay(c.router.config.Now(), c.metadata.Kind)
+	return c.balancer.HedgeDelay(now, c.metadata.Kind)
 }
 
 // race holds the attempts of a hedged call.
@@ -38,7 +56,7 @@
 // first takes longer than delay. The first success wins; the other is cancelled.
 func (c *Call) sendHedged(ctx context.Context, choice balancer.Choice, delay time.Duration) outcome {
 	r := &race{call: c, results: make(chan contender, 2)}
-	r.start(ctx, choice, c.budget.pass())
+	r.start(ctx, choice, c.account.Send())
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -70,12 +88,15 @@
 	c := r.call
 	first := r.running[0]
 	c.excluded = append(c.excluded, first.choice.Instance.ID)
-	choice, err := c.pick()
+	choice, err := c.pick(c.router.config.HedgeDelay == nil)
 	c.excluded = c.excluded[:0]
 	if err != nil {
 		return false
 	}
-	c.budget.pay(again)
+	if !c.account.Charge(retry.HedgeCost) {
+		c.balancer.Done(c.router.config.Now(), choice, balancer.Feedback{Code: resultcode.CallerGone, Execution: resultcode.NotRun})
+		return false
+	}
 	c.router.hedges.Inc(1)
 	r.start(ctx, choice, call.Allowance{})
 	return true
@@ -97,7 +118,6 @@
 // abandon cancels the loser. What was passed to it counts as spent.
 func (r *race) abandon(loser contender) {
 	c := r.call
-	c.budget.settle(loser.passed, loser.passed)
 	loser.cancel()
 	go func() {
 		late := <-r.results
--- a/internal/router/outcome.go
+++ b/internal/router/outcome.go
@@ -21,6 +21,8 @@
 	// passed is the allowance given to the attempt for the calls below it.
 	passed  call.Allowance
 	latency time.Duration
+	// accounted is set once what was not spent is back in the call's account.
+	accounted bool
 }
 
 func (o outcome) code() resultcode.Code {
@@ -37,16 +39,9 @@
 	return o.response.Execution
 }
 
-// failed reports a failure after which an idempotent call may be repeated.
+// failed reports a failure, including an upstream's own gateway status.
 func (o outcome) failed() bool {
-	if o.failure == nil {
-		return failedStatus(o.response.Status)
-	}
-	switch o.failure.Code {
-	case resultcode.ConnectionLost, resultcode.AnswerMismatch:
-		return true
-	}
-	return false
+	return o.failure != nil || failedStatus(o.response.Status)
 }
 
 func (o outcome) load() *admission.Load {
@@ -63,16 +58,21 @@
 	}
 }
 
-// spent returns what was spent below the attempt. Without a report everything
-// that was passed counts as spent, unless nothing was run.
-func (o outcome) spent() call.Allowance {
+// reported returns what was spent below the attempt, and false while there is no
+// report. Nothing was spent by an attempt that was not run.
+func (o outcome) reported() (spent call.Allowance, known bool) {
 	if o.response != nil {
 		if spent, known := o.response.Spent(); known {
-			return o.passed.Minus(o.passed.Minus(spent))
+			return o.passed.Minus(o.passed.Minus(spent)), true
 		}
 	}
-	if o.execution() == resultcode.NotRun {
-		return call.Allowance{}
+	return call.Allowance{}, o.execution() == resultcode.NotRun
+}
+
+// spent is reported with everything that was passed in place of no report.
+func (o outcome) spent() call.Allowance {
+	if spent, known := o.reported(); known {
+		return spent
 	}
 	return o.passed
 }
--- a/internal/upstream/running.go
+++ b/internal/upstream/running.go
@@ -22,9 +22,10 @@
 }
 
 // Open adds an attempt and returns false when it runs already. Abandoned ends
-// when the call's own caller has gone; it stops the child calls too.
-func (r *Running) Open(abandoned context.Context, m call.Metadata) (*Parent, bool) {
-	p := &Parent{Metadata: m, Abandoned: abandoned}
+// when the call's own caller has gone; it stops the child calls too. ChildShed is
+// called when a child call is finally shed; it may be nil.
+func (r *Running) Open(abandoned context.Context, m call.Metadata, childShed func()) (*Parent, bool) {
+	p := &Parent{Metadata: m, Abandoned: abandoned, childShed: childShed}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, exists := r.attempts[m.Attempt]; exists {
@@ -54,6 +55,8 @@
 	call.Metadata
 	Abandoned context.Context
 
+	childShed func()
+
 	mu       sync.Mutex
 	ordinals map[childName]int
 }
@@ -75,3 +78,11 @@
 	p.ordinals[name] = ordinal + 1
 	return call.ChildLineage(p.Lineage, service, kind, ordinal)
 }
+
+// ChildShed notes that a child call was finally refused for want of capacity or
+// time.
+func (p *Parent) ChildShed() {
+	if p.childShed != nil {
+		p.childShed()
+	}
+}
