Balancer: latency counts from 1.5 on, others' load is forgotten in 100 ms

Cause: at 0.9 of the capacity of the chain whose last service is the tightest, 1365 calls were refused although instances had room. Latency follows the queues, which the cost counts as load already, and others' load was remembered for 1 s. Change: loadMemory 100 ms instead of 1 s; slownessMargin 1.5. Failed tries: 100 ms alone (995 refusals), ratio with a smaller weight (964), latency without the queue's share and 100 ms (2624).

--- a/internal/balancer/instance_state.go
+++ b/internal/balancer/instance_state.go
@@ -14,7 +14,11 @@
 	levelExpiry = time.Second
 	// loadMemory is the time constant of a reported load. Reports are late for
 	// stragglers, so they count less with age.
-	loadMemory = time.Second
+	loadMemory = 100 * time.Millisecond
+	// slownessMargin is the latency ratio from which an instance costs more. Below
+	// it the ratio follows the queues, which count as load already; counting them
+	// twice, and late, made the nodes fill one instance while others had room.
+	slownessMargin = 1.5
 	// ratioMemory is the time constant with which a latency reading without
 	// successors returns to the neutral ratio 1.
 	ratioMemory = 10 * time.Second
@@ -153,7 +157,7 @@
 // cost estimates the delay of one more call, in units of the kind's latency per
 // slot.
 func (s *instanceState) cost(now time.Time) float64 {
-	return (s.load(now) + 1) / float64(max(1, s.Slots)) * s.slowness(now)
+	return (s.load(now) + 1) / float64(max(1, s.Slots)) * max(1, s.slowness(now)/slownessMargin)
 }
 
 // queueing reports whether calls wait at the instance, by what is known here.
