--- a/internal/membership/membershiptest/client.go
+++ b/internal/membership/membershiptest/client.go
@@ -53,8 +53,7 @@
 	if err := travel(ctx, c.network, there); err != nil {
 		return nil, err
 	}
-	c.network.waitResumed(server.host)
-	response, err := f(server.handler, ctx, request)
+	response, err := serve(ctx, c.network, server, request, f)
 	if lost := travel(ctx, c.network, back); lost != nil {
 		return nil, lost
 	}
@@ -65,6 +64,27 @@
 	return response, err
 }
 
+// serve runs the handler. While the server is paused its client may give up; the
+// request then still runs when the server resumes, as one in a socket does.
+func serve[Q, R any](ctx context.Context, n *Network, server *served, request *connect.Request[Q], f method[Q, R]) (*connect.Response[R], error) {
+	type result struct {
+		response *connect.Response[R]
+		err      error
+	}
+	done := make(chan result, 1)
+	go func() {
+		n.waitResumed(server.host)
+		response, err := f(server.handler, ctx, request)
+		done <- result{response, err}
+	}()
+	select {
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	case r := <-done:
+		return r.response, r.err
+	}
+}
+
 // lookup returns the server of an address and whether each direction works.
 func (n *Network) lookup(host, address, method string) (server *served, there, back bool) {
 	n.mu.Lock()
