Integration: broken links between nodes and to upstreams

Padding of answers depends on the test id, so that mixed up bodies are recognised. upstreamd -fails is for the test of retries.

--- a/standin/cmd/upstreamd/main.go
+++ b/standin/cmd/upstreamd/main.go
@@ -45,6 +45,7 @@
 	var c upstream.Config
 	var distribution, children, kinds string
 	flag.StringVar(&c.Listen, "listen", "127.0.0.1:0", "address for calls")
+	flag.StringVar(&c.Advertise, "advertise", "", "address to announce instead of the own one, for an instance behind a proxy")
 	flag.StringVar(&c.Node, "node", "", "base URL of the node's loopback listener")
 	flag.StringVar(&c.Service, "service", "demo", "service name")
 	flag.IntVar(&c.Slots, "slots", 35, "calls run at the same time")
@@ -56,6 +57,7 @@
 	flag.DurationVar(&c.LoadLag, "load-lag", 0, "age of the load endpoint's figures")
 	flag.StringVar(&children, "children", "", "services to call, as service[/kind],...")
 	flag.BoolVar(&c.RefusesBeforeWork, "refuses-before-work", false, "declare refusals when all slots are taken")
+	flag.BoolVar(&c.Fails, "fails", false, "answer every call with 503 after its work")
 	flag.Uint64Var(&c.Seed, "seed", 1, "seed of the service times")
 	flag.Parse()
 	c.Distribution = upstream.Distribution(distribution)
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -15,16 +15,17 @@
 // Proxy forwards connections to one target.
 type Proxy struct {
 	listener net.Listener
-	target   string
 
 	mu     sync.Mutex
+	target string
 	fault  Fault
 	wake   chan struct{}
 	conns  map[*connection]struct{}
 	closed bool
 }
 
-// Start listens and forwards to target.
+// Start listens and forwards to target. With an empty target, connections wait
+// until SetTarget.
 func Start(listen, target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -45,22 +46,35 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
-	close(p.wake)
-	p.wake = make(chan struct{})
+	p.wakeAll()
 	if f.Mode == Cut || f.Mode == Reset {
 		p.closeConnections(f.Mode == Reset)
 	}
 }
 
+// SetTarget changes where new connections go.
+func (p *Proxy) SetTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+	p.wakeAll()
+}
+
 // Close stops the proxy and all its connections.
 func (p *Proxy) Close() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.wakeAll()
 	p.closeConnections(false)
 	return p.listener.Close()
 }
 
+func (p *Proxy) wakeAll() {
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
 func (p *Proxy) closeConnections(reset bool) {
 	for c := range p.conns {
 		c.close(reset)
@@ -82,7 +96,7 @@
 		closeTCP(client, mode == Reset)
 		return
 	}
-	dialed, err := net.DialTimeout("tcp", p.target, 5*time.Second)
+	dialed, err := net.DialTimeout("tcp", p.waitForTarget(), 5*time.Second)
 	if err != nil {
 		_ = client.Close()
 		return
@@ -100,6 +114,20 @@
 	wg.Wait()
 }
 
+// waitForTarget returns the target as soon as it is known, and nothing when the
+// proxy is closed first.
+func (p *Proxy) waitForTarget() string {
+	for {
+		p.mu.Lock()
+		target, wake, closed := p.target, p.wake, p.closed
+		p.mu.Unlock()
+		if target != "" || closed {
+			return target
+		}
+		<-wake
+	}
+}
+
 func (p *Proxy) add(c *connection) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/upstream/config.go
+++ b/standin/upstream/config.go
@@ -18,6 +18,8 @@
 type Config struct {
 	// Listen is the address for calls; port 0 picks a free one.
 	Listen string
+	// Advertise is the address that the instance announces; empty means its own.
+	Advertise string
 	// Node is the base URL of the node's loopback listener. Without one the
 	// instance neither announces itself nor makes child calls.
 	Node           string
@@ -39,5 +41,7 @@
 	// RefusesBeforeWork announces and uses declared refusals when all slots are
 	// taken; otherwise excess calls wait.
 	RefusesBeforeWork bool
-	Seed              uint64
+	// Fails makes every call end with 503 after its work.
+	Fails bool
+	Seed  uint64
 }
--- a/standin/upstream/control.go
+++ b/standin/upstream/control.go
@@ -47,7 +47,7 @@
 func (s *Server) announceOnce(ctx context.Context) error {
 	body, err := json.Marshal(announcement{
 		Service:           s.config.Service,
-		Address:           s.Addr(),
+		Address:           s.announcedAddr(),
 		Slots:             s.config.Slots,
 		MaxConnections:    s.config.MaxConnections,
 		Ready:             true,
@@ -72,6 +72,13 @@
 	return nil
 }
 
+func (s *Server) announcedAddr() string {
+	if s.config.Advertise != "" {
+		return s.config.Advertise
+	}
+	return s.Addr()
+}
+
 // Drain tells the node that this instance is leaving.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -129,6 +129,11 @@
 		s.recordAbandoned()
 		return
 	}
+	if s.config.Fails {
+		s.recordCompleted()
+		http.Error(w, "this instance fails every call", http.StatusServiceUnavailable)
+		return
+	}
 	path, status := s.callChildren(r, testID)
 	if status != http.StatusOK {
 		http.Error(w, "child call failed", status)
@@ -197,7 +202,13 @@
 	return time.Duration(float64(mean) * factor)
 }
 
-// writeAnswer sends the answer, followed by as many zero bytes as the query
+// Padding returns the bytes that follow an answer. They depend on the test id, so
+// that a body with bytes of another answer is recognised.
+func Padding(testID string, size int64) io.Reader {
+	return io.LimitReader(rand.NewChaCha8(sha256.Sum256([]byte(testID))), size)
+}
+
+// writeAnswer sends the answer, followed by as many bytes of padding as the query
 // parameter size asks for.
 func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, answer Answer) {
 	padding, _ := strconv.ParseInt(r.URL.Query().Get("size"), 10, 64)
@@ -205,12 +216,5 @@
 	if err := json.NewEncoder(w).Encode(answer); err != nil {
 		return
 	}
-	block := make([]byte, 32<<10)
-	for padding > 0 {
-		n, err := w.Write(block[:min(int64(len(block)), padding)])
-		if err != nil {
-			return
-		}
-		padding -= int64(n)
-	}
+	_, _ = io.Copy(w, Padding(answer.TestID, padding))
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mustardwing/mustardwing/standin/faultproxy"
 	"github.com/mustardwing/mustardwing/standin/upstream"
 )
 
@@ -28,6 +29,8 @@
 	Service  ServiceSpec
 	Node     *Node
 	Upstream *Process
+	// PeerProxy and UpstreamProxy are set for instances of a proxied service.
+	PeerProxy, UpstreamProxy *faultproxy.Proxy
 }
 
 // Fleet is a running deployment.
@@ -89,16 +92,41 @@
 	index := f.next
 	f.next++
 	f.mu.Unlock()
-	node, err := StartNode(f.BinDir, f.WorkDir, f.nodeSpec(service.Name, index))
-	if err != nil {
+	instance := &Instance{Service: service}
+	if service.Proxied {
+		if err := instance.startProxies(); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.startInstance(instance, f.nodeSpec(service.Name, index), index); err != nil {
+		instance.closeProxies()
 		return nil, err
 	}
-	instance := &Instance{Service: service, Node: node}
+	return instance, nil
+}
+
+func (f *Fleet) startInstance(i *Instance, spec NodeSpec, index int) error {
+	service := i.Service
+	if i.PeerProxy != nil {
+		spec.AdvertisePeer = i.PeerProxy.Addr()
+		service.Advertise = i.UpstreamProxy.Addr()
+	}
+	node, err := StartNode(f.BinDir, f.WorkDir, spec)
+	if err != nil {
+		return err
+	}
+	i.Node = node
+	if i.PeerProxy != nil {
+		i.PeerProxy.SetTarget(node.Addresses.Peer)
+	}
 	f.mu.Lock()
-	f.instances = append(f.instances, instance)
+	f.instances = append(f.instances, i)
 	f.mu.Unlock()
-	instance.Upstream, err = f.StartUpstream(node, service, index)
-	return instance, err
+	i.Upstream, err = f.StartUpstream(node, service, index)
+	if err == nil && i.UpstreamProxy != nil {
+		i.UpstreamProxy.SetTarget(i.Upstream.FirstLine)
+	}
+	return err
 }
 
 func (f *Fleet) nodeSpec(service string, index int) NodeSpec {
@@ -125,6 +153,8 @@
 		"-children", strings.Join(s.Children, ","),
 		"-cold-start", s.ColdStart.String(),
 		"-seed", fmt.Sprint(f.Deployment.Seed + uint64(index)),
+		"-advertise", s.Advertise,
+		fmt.Sprintf("-fails=%t", s.Fails),
 		fmt.Sprintf("-refuses-before-work=%t", s.RefusesBeforeWork),
 	}
 	if s.Distribution != "" {
@@ -208,6 +238,7 @@
 			if i.Upstream != nil {
 				i.Upstream.Kill()
 			}
+			i.closeProxies()
 		})
 	}
 	wg.Wait()
--- a/test/fleet/spec.go
+++ b/test/fleet/spec.go
@@ -17,6 +17,13 @@
 	// RefusesBeforeWork makes the upstream refuse, declared, when its slots are
 	// taken.
 	RefusesBeforeWork bool
+	// Fails makes the upstream answer every call with 503.
+	Fails bool
+	// Proxied puts a fault proxy in front of the node's peer listener and another
+	// one between the node and its upstream.
+	Proxied bool
+	// Advertise is the address that the upstream announces; empty means its own.
+	Advertise string
 }
 
 // Deployment describes a whole fleet.
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -91,13 +91,15 @@
 
 type request struct {
 	target, method, service, kind, testID, key string
-	body                                       io.Reader
+	// query starts with a question mark.
+	query string
+	body  io.Reader
 }
 
 var client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
 
 func send(r request) reply {
-	req, err := http.NewRequest(r.method, r.target+"/"+r.kind, r.body)
+	req, err := http.NewRequest(r.method, r.target+"/"+r.kind+r.query, r.body)
 	if err != nil {
 		return reply{err: err}
 	}
