Integration: settings edits by racing operators under faults

Two operators edit the same and different fields with the client program while a node starts and another is paused, while the store loses half of the answers to writes, and a node starts during an outage. The fleet gives later nodes the first ones as seeds.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -44,6 +44,9 @@
 	mu        sync.Mutex
 	instances []*Instance
 	next      int
+	// seeds are the gossip addresses that later nodes start with, so that they
+	// can join while the platform is away.
+	seeds []string
 }
 
 // Start runs the platform stand-in, stores the settings and starts all
@@ -83,6 +86,9 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
+	for _, i := range f.Instances("") {
+		f.seeds = append(f.seeds, i.Node.Addresses.Gossip)
+	}
 	return f.WaitForMembers(ctx, total)
 }
 
@@ -136,6 +142,7 @@
 		Region:        d.Region,
 		FailureDomain: d.FailureDomains[index%len(d.FailureDomains)],
 		PlatformURL:   f.PlatformURL,
+		Seeds:         f.seeds,
 		Policy:        d.Policy,
 		LogLevel:      d.LogLevel,
 		OTLPEndpoint:  d.OTLPEndpoint,
--- /dev/null
+++ b/test/fleet/status.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// NodeStatus is the part of a node's own status that tests look at.
+type NodeStatus struct {
+	SettingsRevision int64    `json:"settings_revision"`
+	SettingsRefused  []string `json:"settings_refused"`
+}
+
+// Status reads the node's own status.
+func (n *Node) Status() (NodeStatus, error) {
+	var status NodeStatus
+	data, err := get("http://" + n.Addresses.Admin + "/status")
+	if err != nil {
+		return status, err
+	}
+	return status, errors.Wrap(json.Unmarshal(data, &status), "decode status")
+}
+
+// WaitForRevision waits until a settings revision is in force at the node.
+func (n *Node) WaitForRevision(ctx context.Context, want int64) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		status, err := n.Status()
+		if err == nil && status.SettingsRevision == want {
+			return nil
+		}
+		select {
+		case <-time.After(readyInterval):
+		case <-ctx.Done():
+			return errors.Errorf("%s: status %+v, want revision %d, last error %v", n.Name, status, want, err)
+		}
+	}
+}
+
+// SettingsRevision reads the highest version of a settings object in the store.
+func (f *Fleet) SettingsRevision() (int64, error) {
+	data, err := get(f.PlatformURL + "/v1/objects?prefix=settings/")
+	if err != nil {
+		return 0, err
+	}
+	var listing struct {
+		Objects []struct {
+			Version int64 `json:"version"`
+		} `json:"objects"`
+	}
+	if err := json.Unmarshal(data, &listing); err != nil {
+		return 0, errors.Wrap(err, "decode listing")
+	}
+	var highest int64
+	for _, o := range listing.Objects {
+		highest = max(highest, o.Version)
+	}
+	return highest, nil
+}
--- /dev/null
+++ b/test/integration/operator_test.go
@@ -0,0 +1,127 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/test/fleet"
+)
+
+// Exit statuses of the client program.
+const (
+	exitDone        = 0
+	exitConflict    = 4
+	exitUnavailable = 5
+)
+
+// edit is one run of the client program.
+type edit struct {
+	scope, field, by, reason string
+	exit                     int
+	output                   string
+}
+
+// operator edits the settings by the client program.
+type operator struct {
+	fleet *fleet.Fleet
+	name  string
+	edits []edit
+}
+
+func (o *operator) set(scope, field, value string) edit {
+	e := edit{scope: scope, field: field, by: o.name, reason: fmt.Sprintf("edit %d of %s", len(o.edits), o.name)}
+	cmd := exec.Command(filepath.Join(binDir, "mustardwing"), "set", scope, field+"="+value,
+		"-by", o.name, "-reason", e.reason, "-platform", o.fleet.PlatformURL)
+	output, _ := cmd.CombinedOutput()
+	e.output, e.exit = string(output), cmd.ProcessState.ExitCode()
+	o.edits = append(o.edits, e)
+	return e
+}
+
+// edit changes a field of its own and one that the other operator changes at the
+// same time. The store keeps the last ten records of a field, so rounds stay few.
+func (o *operator) edit(scope, own string, number int) {
+	const rounds = 4
+	for i := range rounds {
+		o.set(scope, own, fmt.Sprintf("%dms", 100+10*number+i))
+		o.set(scope, "moves", fmt.Sprint(4*number+i))
+	}
+}
+
+// race lets both operators edit a scope at the same time.
+func race(scope string, ana, ivo *operator) {
+	var wg sync.WaitGroup
+	wg.Go(func() { ana.edit(scope, "timeout", 1) })
+	wg.Go(func() { ivo.edit(scope, "queue_timeout", 2) })
+	wg.Wait()
+}
+
+type historyEntry struct {
+	Field   string `json:"field"`
+	SetBy   string `json:"set_by"`
+	Reason  string `json:"reason"`
+	InForce bool   `json:"in_force"`
+}
+
+func history(t *testing.T, f *fleet.Fleet, scope string) []historyEntry {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binDir, "mustardwing"), "history", scope, "-o", "json", "-platform", f.PlatformURL)
+	output, err := cmd.Output()
+	assert.NilError(t, err, "%s", output)
+	var result struct {
+		Entries []historyEntry `json:"entries"`
+	}
+	assert.NilError(t, json.Unmarshal(output, &result))
+	return result.Entries
+}
+
+// checkEdits asserts that accepted edits are recorded exactly once, refused ones
+// not at all, and that a field which only one operator edits has the last accepted
+// value or that of a later edit without a clear answer.
+func checkEdits(t *testing.T, f *fleet.Fleet, scope string, operators ...*operator) (accepted, conflicts, unclear int) {
+	t.Helper()
+	recorded := make(map[string]int)
+	inForce := make(map[string]string)
+	for _, e := range history(t, f, scope) {
+		recorded[e.Reason]++
+		if e.InForce {
+			inForce[e.Field] = e.Reason
+		}
+	}
+	for _, o := range operators {
+		allowed := make(map[string]map[string]bool)
+		for _, e := range o.edits {
+			if e.scope != scope {
+				continue
+			}
+			switch e.exit {
+			case exitDone:
+				accepted++
+				assert.Equal(t, recorded[e.reason], 1, "accepted: %+v", e)
+				allowed[e.field] = map[string]bool{e.reason: true}
+			case exitConflict:
+				conflicts++
+				assert.Equal(t, recorded[e.reason], 0, "refused: %+v", e)
+				assert.Equal(t, e.field, "moves", "a conflict in a field that nobody else edits: %+v", e)
+			case exitUnavailable:
+				unclear++
+				assert.Assert(t, recorded[e.reason] <= 1, "%+v", e)
+				if allowed[e.field] != nil {
+					allowed[e.field][e.reason] = true
+				}
+			default:
+				t.Fatalf("unexpected exit status: %+v", e)
+			}
+		}
+		for field, reasons := range allowed {
+			assert.Assert(t, field == "moves" || reasons[inForce[field]], "%s: in force is %q, accepted last %v", field, inForce[field], reasons)
+		}
+	}
+	return accepted, conflicts, unclear
+}
