--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -92,8 +92,9 @@
 type request struct {
 	target, method, service, kind, testID, key string
 	// query starts with a question mark.
-	query string
-	body  io.Reader
+	query       string
+	traceparent string
+	body        io.Reader
 }
 
 var client = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
@@ -109,6 +110,9 @@
 	if r.key != "" {
 		req.Header.Set("Mustardwing-Key", r.key)
 	}
+	if r.traceparent != "" {
+		req.Header.Set("Traceparent", r.traceparent)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{err: err}
