Integration: members tables follow paused, killed and replaced nodes

The members table had no test with real processes. One node is paused until all others see it dead, and resumed; one is killed and restarted at the same addresses with a new incarnation; two of five are replaced at once.

--- a/test/fleet/wait.go
+++ b/test/fleet/wait.go
@@ -12,6 +12,7 @@
 // MemberView is the part of a node's members table that tests look at.
 type MemberView struct {
 	ID               string
+	Incarnation      uint64
 	State            string
 	Service          string
 	FailureDomain    string
@@ -53,11 +54,11 @@
 	})
 }
 
-// WaitForAll waits until the members table of every node satisfies ok.
-func (f *Fleet) WaitForAll(ctx context.Context, ok func([]MemberView) bool) error {
+// WaitForEach waits until the members table of each instance's node satisfies ok.
+func WaitForEach(ctx context.Context, instances []*Instance, ok func([]MemberView) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, i := range f.Instances("") {
+	for _, i := range instances {
 		if err := i.Node.waitFor(ctx, ok); err != nil {
 			return err
 		}
@@ -65,6 +66,11 @@
 	return nil
 }
 
+// WaitForAll waits until the members table of every node satisfies ok.
+func (f *Fleet) WaitForAll(ctx context.Context, ok func([]MemberView) bool) error {
+	return WaitForEach(ctx, f.Instances(""), ok)
+}
+
 func (n *Node) waitFor(ctx context.Context, ok func([]MemberView) bool) error {
 	for {
 		members, err := n.Members()
