Calls that failed because of a shed call below say so to the node above

Change: the node beside an upstream sets Mustardwing-Shed: below on the upstream's own failure when a child call was refused for want of capacity or time; the node above then treats its parent call alike.

--- a/internal/call/header.go
+++ b/internal/call/header.go
@@ -25,6 +25,9 @@
 	HeaderSpent          = "Mustardwing-Spent"
 	HeaderLoad           = "Mustardwing-Load"
 	HeaderRefusedAttempt = "Mustardwing-Refused-Attempt"
+	// HeaderShed has the value ShedBelow on a failure of the upstream's own whose
+	// cause is that a call below it was refused for want of capacity or time.
+	HeaderShed           = "Mustardwing-Shed"
 	HeaderOriginalStatus = "Mustardwing-Original-Status"
 )
 
@@ -34,6 +37,9 @@
 // repeatableNo is the only value of HeaderRepeatable.
 const repeatableNo = "no"
 
+// ShedBelow is the value of HeaderShed.
+const ShedBelow = "below"
+
 // Strip removes every header of this system.
 func Strip(h http.Header) {
 	for name := range h {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -254,6 +254,9 @@
 		}
 	}
 	defer finish()
+	if parent != nil && response.ShedBelow {
+		parent.shed()
+	}
 	f.counts.Count(resultcode.OK)
 	f.writeHeader(w, m, response)
 	if !relay.HasBody(r.Method, response.Status, response.ContentLength) {
--- a/internal/peer/execution.go
+++ b/internal/peer/execution.go
@@ -8,6 +8,7 @@
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/relay"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/upstream"
 )
 
 // execution is one admitted attempt at the upstream beside this node.
@@ -17,6 +18,7 @@
 	slot      *admission.Slot
 	permitted bool
 	opened    bool
+	parent    *upstream.Parent
 	closed    bool
 	abandon   context.CancelFunc
 	stopWatch func() bool
@@ -46,12 +48,14 @@
 // open enters the attempt in the record of running attempts.
 func (e *execution) open(caller context.Context) error {
 	abandoned, abandon := context.WithCancel(context.WithoutCancel(caller))
-	if _, fresh := e.handler.config.Running.Open(abandoned, e.metadata, e.slot.ChildShed); !fresh {
+	parent, fresh := e.handler.config.Running.Open(abandoned, e.metadata, e.slot.ChildShed)
+	if !fresh {
 		abandon()
 		e.permitted = false
 		return resultcode.New(resultcode.KeyInProgress, "attempt %s runs already", e.metadata.Attempt)
 	}
 	e.opened = true
+	e.parent = parent
 	e.abandon = abandon
 	e.stopWatch = context.AfterFunc(caller, abandon)
 	e.handler.config.Ledger.Open(e.metadata.Attempt, e.metadata.Allowance)
@@ -69,6 +73,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	e.status = response.StatusCode
+	if e.outcome == resultcode.Unknown && e.parent.ShedBelow() {
+		w.Header()[call.HeaderShed] = []string{call.ShedBelow}
+	}
 	e.complete(ctx)
 	if relay.Short(r.Method, response) {
 		return e.relayShort(w, response)
--- a/internal/upstream/running.go
+++ b/internal/upstream/running.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 
@@ -56,6 +57,7 @@
 	Abandoned context.Context
 
 	childShed func()
+	shedBelow atomic.Bool
 
 	mu       sync.Mutex
 	ordinals map[childName]int
@@ -82,7 +84,14 @@
 // ChildShed notes that a child call was finally refused for want of capacity or
 // time.
 func (p *Parent) ChildShed() {
+	p.shedBelow.Store(true)
 	if p.childShed != nil {
 		p.childShed()
 	}
 }
+
+// ShedBelow reports whether a child call was finally refused for want of
+// capacity or time.
+func (p *Parent) ShedBelow() bool {
+	return p.shedBelow.Load()
+}
