Membership: the first node of a failure domain writes the seed entry at once

Cause: a node that knows nobody became a keeper only after three join attempts, and the others read the store with a doubling wait from 2 s, so six nodes that start at once took about 12 s to meet. Change: a node that knows nobody and finds no entry for its failure domain writes itself; the loser of that race reads again at once; the first read comes after about 1 s.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -80,7 +80,7 @@
 	// entries, and the least time between two of its writes; default 1 min.
 	SeedInterval time.Duration
 	// SeedBackoff is the first wait between two reads of the seed entries by a
-	// node that knows nobody; it doubles up to SeedInterval; default 2 s.
+	// node that knows nobody; it doubles up to SeedInterval; default 1 s.
 	SeedBackoff time.Duration
 	// StoreTimeout bounds one call to the store; default 2 s.
 	StoreTimeout time.Duration
@@ -109,7 +109,7 @@
 	setDuration(&c.ReconnectInterval, 10*time.Second)
 	setDuration(&c.LeaveTimeout, 2*time.Second)
 	setDuration(&c.SeedInterval, time.Minute)
-	setDuration(&c.SeedBackoff, 2*time.Second)
+	setDuration(&c.SeedBackoff, time.Second)
 	setDuration(&c.StoreTimeout, 2*time.Second)
 	return c
 }
--- a/internal/membership/seeds.go
+++ b/internal/membership/seeds.go
@@ -67,10 +67,28 @@
 	ctx, cancel := context.WithTimeout(ctx, k.list.cfg.StoreTimeout)
 	defer cancel()
 	listing, err := k.read(ctx)
-	if err != nil || !keeper {
+	if err != nil {
+		return
+	}
+	// While all nodes start at once there is no entry, and none is known to be a
+	// keeper: whoever comes first writes itself, so that the others find it.
+	first := alone && !k.hasEntry(listing)
+	if !keeper && !first {
 		return
 	}
-	k.write(ctx, listing)
+	if conflict := k.write(ctx, listing); conflict && alone {
+		_, _ = k.read(ctx)
+	}
+}
+
+// hasEntry reports whether the own failure domain has a seed entry.
+func (k *seedKeeper) hasEntry(listing platform.Listing) bool {
+	for _, object := range listing.Objects {
+		if object.Key == seedPrefix+k.list.cfg.FailureDomain {
+			return len(decodeSeeds(object.Value)) > 0
+		}
+	}
+	return false
 }
 
 // read lists all entries. A keeper uses them too: after a long partition they
@@ -90,8 +108,9 @@
 }
 
 // write replaces the entry of the own failure domain when it differs. Both
-// keepers compute the same entry, so normally only one of them writes.
-func (k *seedKeeper) write(ctx context.Context, listing platform.Listing) {
+// keepers compute the same entry, so normally only one of them writes. It reports
+// whether another node wrote first.
+func (k *seedKeeper) write(ctx context.Context, listing platform.Listing) (conflict bool) {
 	key := seedPrefix + k.list.cfg.FailureDomain
 	wanted := k.list.seedAddresses()
 	var version int64
@@ -101,22 +120,22 @@
 		}
 		version = object.Version
 		if slices.Equal(decodeSeeds(object.Value), wanted) {
-			return
+			return false
 		}
 	}
 	value, err := json.Marshal(seedEntry{Addresses: wanted})
 	if err != nil {
-		return
+		return false
 	}
 	k.list.countStore(0, 1)
 	_, err = k.list.cfg.Store.Update(ctx, key, version, value)
 	if err != nil && resultcode.From(err).Code == resultcode.SettingsConflict {
-		// The other keeper wrote first.
-		return
+		return true
 	}
 	if err != nil {
 		k.list.cfg.Logger.Debug().Err(err).Str("key", key).Msg("seed entry not written")
 	}
+	return false
 }
 
 func decodeSeeds(value []byte) []string {
--- a/internal/status/reporter.go
+++ b/internal/status/reporter.go
@@ -132,14 +132,16 @@
 // writeLoop writes the report while this node is a reporter, with backoff while
 // the store fails.
 func (r *Reporter) writeLoop(ctx context.Context) {
-	wait := r.cfg.Interval
+	wait := r.pushInterval()
 	for pause(ctx, r.cfg.Interval/5+r.jittered(wait)) {
 		if !r.cfg.Members.Holds(membership.RoleStatusReporter) {
 			r.forget()
 			continue
 		}
 		if r.write(ctx) == nil {
-			wait = r.cfg.Interval
+			// New summaries do not come more often, and the report of a large domain
+			// is too big to be written every Interval.
+			wait = r.pushInterval()
 			continue
 		}
 		wait = min(2*wait, r.cfg.MaxBackoff)
