--- a/test/bench/latency.go
+++ b/test/bench/latency.go
@@ -38,12 +38,12 @@
 	if err != nil {
 		return row, err
 	}
-	before := cpuTime(entry.Node.Pid()) + cpuTime(instance.Node.Pid())
+	before := CPUTime(entry.Node.Pid(), instance.Node.Pid())
 	through, err := latencyLoad(ctx, "http://"+entry.Node.Addresses.Caller, class, seed)
 	if err != nil {
 		return row, err
 	}
-	used := cpuTime(entry.Node.Pid()) + cpuTime(instance.Node.Pid()) - before
+	used := CPUTime(entry.Node.Pid(), instance.Node.Pid()) - before
 	if through.Failed > 0 || direct.Failed > 0 {
 		return row, errors.Errorf("failed calls: %d direct, %d through the nodes %v", direct.Failed, through.Failed, through.Codes)
 	}
--- a/test/bench/proc.go
+++ b/test/bench/proc.go
@@ -11,7 +11,15 @@
 // clockTick is the kernel's unit of processor time in /proc.
 const clockTick = 10 * time.Millisecond
 
-// cpuTime reads the processor time that a process has used.
+// CPUTime reads the processor time that processes have used together.
+func CPUTime(pids ...int) time.Duration {
+	var total time.Duration
+	for _, pid := range pids {
+		total += cpuTime(pid)
+	}
+	return total
+}
+
 func cpuTime(pid int) time.Duration {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
@@ -25,6 +33,22 @@
 	return time.Duration(user+system) * clockTick
 }
 
+// LoopbackBytes reads how many bytes the loopback interface has carried.
+func LoopbackBytes() int64 {
+	data, err := os.ReadFile("/proc/net/dev")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		name, counters, _ := strings.Cut(line, ":")
+		if strings.TrimSpace(name) == "lo" {
+			received, _ := strconv.ParseInt(strings.Fields(counters)[0], 10, 64)
+			return received
+		}
+	}
+	return 0
+}
+
 // ResidentMB reads a process's resident memory.
 func ResidentMB(pid int) float64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
--- /dev/null
+++ b/test/cmd/idle/main.go
@@ -0,0 +1,71 @@
+// Command idle measures what idle daemons use, as a function of the number of
+// instances of their service: leases between the owners of keys grow with it.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/test/bench"
+	"github.com/mustardwing/mustardwing/test/fleet"
+)
+
+const (
+	// settle lets joins and the first leases pass.
+	settle   = 10 * time.Second
+	idleTime = 10 * time.Second
+)
+
+func main() {
+	binDir := flag.String("bin", "bin", "directory of the programs")
+	flag.Parse()
+	fmt.Println("| instances of the service | % of a core | MB resident | loopback KB/s sent and received, with TCP |")
+	fmt.Println("| --- | --- | --- | --- |")
+	for _, n := range []int{1, 2, 4, 8, 16} {
+		if err := measure(context.Background(), *binDir, n); err != nil {
+			fmt.Fprintln(os.Stderr, "idle:", err)
+			os.Exit(1)
+		}
+	}
+}
+
+// measure starts a fleet of n instances of one service and prints the means.
+func measure(ctx context.Context, binDir string, n int) error {
+	workDir, err := os.MkdirTemp("", "mustardwing-idle")
+	if err != nil {
+		return errors.Wrap(err, "work directory")
+	}
+	defer os.RemoveAll(workDir)
+	f, err := fleet.Start(ctx, binDir, workDir, fleet.Deployment{
+		Region:         "ro",
+		FailureDomains: []string{"ro-a", "ro-b", "ro-c", "ro-d"},
+		Services:       []fleet.ServiceSpec{{Name: "search", Instances: n, Slots: 35, Connections: 300, ServiceTime: time.Millisecond}},
+		Policy:         "full",
+		LogLevel:       "warn",
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	time.Sleep(settle)
+	var pids []int
+	for _, i := range f.Instances("") {
+		pids = append(pids, i.Node.Pid())
+	}
+	before, cpuBefore := bench.LoopbackBytes(), bench.CPUTime(pids...)
+	time.Sleep(idleTime)
+	bytes, cpu := bench.LoopbackBytes()-before, bench.CPUTime(pids...)-cpuBefore
+	resident := 0.0
+	for _, pid := range pids {
+		resident += bench.ResidentMB(pid)
+	}
+	// Each byte on loopback is counted once as sent and once as received.
+	perNode := 2 * float64(bytes) / idleTime.Seconds() / 1000 / float64(n)
+	fmt.Printf("| %d | %.2f | %.1f | %.2f |\n", n, 100*cpu.Seconds()/idleTime.Seconds()/float64(n), resident/float64(n), perNode)
+	return nil
+}
