Node: calls wait until the settings are known, for at most 3 s

Cause: since fleets converge in about a second, TestOverloadShedsByPriority sent its load before the settings had reached the nodes; the refusals of critical calls said "kind critical of priority normal" (8 to 62 of 491 shed). In production a node that has just started would do the same, and take a GET kind marked not idempotent for idempotent. Ruled out: levels of the policy; no refusal named priority critical. Change: the caller and loopback listeners hold calls back until the first settings are in force or 3 s have passed, and readiness says so.

--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -30,6 +30,7 @@
 	n.upstream.Reconfigure()
 	n.router.Reconfigure()
 	n.ownership.reconfigure(n.keySettings)
+	n.gate.release()
 }
 
 // settingsRefused reports objects of the settings that cannot be applied.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	listeners *listeners
 
 	settings   *settingsInForce
+	gate       *settingsGate
 	store      platform.Store
 	peerClient *peer.Client
 	peers      *peerClients
@@ -70,6 +71,7 @@
 		telemetry:  t,
 		listeners:  opened,
 		settings:   newSettingsInForce(),
+		gate:       newSettingsGate(),
 		calls:      &peer.Counts{},
 		peerClient: peer.NewClient(peer.ClientConfig{}),
 		callers:    drain.NewState(nil),
@@ -186,10 +188,10 @@
 	}
 	running, ledger := upstream.NewRunning(), retry.NewLedger()
 	n.servers = []*http.Server{
-		ingress.NewServer(ingress.NewCallerHandler(front)),
-		ingress.NewServer(ingress.NewLoopbackHandler(ingress.LoopbackConfig{
+		ingress.NewServer(n.gate.wrap(ingress.NewCallerHandler(front))),
+		ingress.NewServer(n.gate.wrap(ingress.NewLoopbackHandler(ingress.LoopbackConfig{
 			Config: front, Upstream: n.upstream, Running: running, Ledger: ledger,
-		})),
+		}))),
 		peer.NewServer(peer.NewHandler(peer.HandlerConfig{
 			Upstream: n.upstream,
 			Running:  running,
@@ -230,6 +232,7 @@
 	n.serve(n.servers[3], l.admin)
 	n.members.Start()
 	n.syncer.Start()
+	n.gate.startGrace()
 	if n.reporter != nil {
 		n.reporter.Start()
 	}
--- /dev/null
+++ b/internal/node/settings_gate_test.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/ingress"
+)
+
+// Guards against a node that serves its first calls with the built-in defaults
+// although settings exist: critical calls would be shed like normal ones. It also
+// guards against a node that serves nothing while peers and platform are away.
+func TestCallsWaitForSettings(t *testing.T) {
+	for _, known := range []time.Duration{time.Second, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			gate := newSettingsGate()
+			gate.startGrace()
+			time.AfterFunc(known, gate.release)
+			started := time.Now()
+			handler := gate.wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusNoContent)
+			}))
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPut, ingress.AnnouncementPath, nil))
+			assert.Equal(t, time.Since(started), time.Duration(0), "announcements do not wait")
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+			assert.Equal(t, time.Since(started), min(known, settingsGrace))
+			time.Sleep(2 * time.Hour)
+		})
+	}
+}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -73,5 +73,8 @@
 	if n.callers.Draining() {
 		return errors.New("the node is shutting down")
 	}
+	if !n.gate.released() {
+		return errors.New("the settings are not known yet")
+	}
 	return nil
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -89,7 +89,10 @@
 	for _, i := range f.Instances("") {
 		f.seeds = append(f.seeds, i.Node.Addresses.Gossip)
 	}
-	return f.WaitForMembers(ctx, total)
+	if err := f.WaitForMembers(ctx, total); err != nil {
+		return err
+	}
+	return f.WaitForReady(ctx)
 }
 
 // AddInstance starts a node and its upstream.
--- a/test/fleet/wait.go
+++ b/test/fleet/wait.go
@@ -66,6 +66,26 @@
 	return nil
 }
 
+// WaitForReady waits until every node has the settings and takes calls.
+func (f *Fleet) WaitForReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, i := range f.Instances("") {
+		for {
+			_, err := get("http://" + i.Node.Addresses.Admin + "/readyz")
+			if err == nil {
+				break
+			}
+			select {
+			case <-time.After(readyInterval):
+			case <-ctx.Done():
+				return errors.Wrapf(err, "%s is not ready", i.Node.Name)
+			}
+		}
+	}
+	return nil
+}
+
 // WaitForAll waits until the members table of every node satisfies ok.
 func (f *Fleet) WaitForAll(ctx context.Context, ok func([]MemberView) bool) error {
 	return WaitForEach(ctx, f.Instances(""), ok)
