Node: gauges for membership, ownership, settings and slots; invariants reported

The counters of these parts were not visible from outside, and breaches found by the deciding packages were counted in a variable that the daemon did not read.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,9 @@
 	work    *drain.State
 
 	servers []*http.Server
+	// running ends when the node closes.
+	running context.Context
+	cancel  context.CancelFunc
 }
 
 // New opens the listeners and builds a node that serves nothing yet.
@@ -77,6 +80,7 @@
 		callers:    drain.NewState(nil),
 		work:       drain.NewState(nil),
 	}
+	n.running, n.cancel = context.WithCancel(context.Background())
 	n.peers = newPeerClients(n.peerClient.ControlClient())
 	if config.Platform.URL != "" {
 		client := platform.NewClient(platform.ClientConfig{URL: config.Platform.URL, Timeout: config.Platform.Timeout})
@@ -233,6 +237,8 @@
 	n.members.Start()
 	n.syncer.Start()
 	n.gate.startGrace()
+	n.watchInvariants()
+	go n.reportGauges(n.running)
 	if n.reporter != nil {
 		n.reporter.Start()
 	}
@@ -266,6 +272,7 @@
 			_ = s.Close()
 		}
 	}
+	n.cancel()
 	_ = n.syncer.Close()
 	if n.reporter != nil {
 		_ = n.reporter.Close()
