settingsync: test waits for the bubble before it reads what the fake counted

Cause: TestOlderRevisionIgnored read the fake's counter after time.Sleep, which orders nothing for the race detector; the race step of make test failed on it. Change: synctest.Wait after each sleep; the assertions are unchanged.

--- a/internal/settingsync/peer_test.go
+++ b/internal/settingsync/peer_test.go
@@ -55,6 +55,7 @@
 		assert.NilError(t, err)
 		s.Start()
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		assert.Equal(t, s.Revision(), int64(5))
 		for _, stale := range []*peerv1.GetSettingsResponse{
 			snapshot(3),
@@ -65,6 +66,7 @@
 			peer.response = stale
 			peer.announce(membership.Member{ID: "peer"}, 9)
 			time.Sleep(5 * time.Second)
+			synctest.Wait()
 			assert.Assert(t, peer.fetches > before)
 			assert.Equal(t, s.Revision(), int64(5))
 			assert.Equal(t, n.applied, 1)
@@ -72,6 +74,7 @@
 		peer.response = snapshot(9)
 		peer.announce(membership.Member{ID: "peer"}, 9)
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		assert.Equal(t, s.Revision(), int64(9))
 		assert.NilError(t, s.Close())
 	})
