--- a/cmd/mustardwingd/main.go
+++ b/cmd/mustardwingd/main.go
@@ -75,7 +75,10 @@
 	if err := json.NewEncoder(os.Stdout).Encode(n.Addresses()); err != nil {
 		return errors.Wrap(err, "print addresses")
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-n.Superseded():
+	}
 	stop()
 	bounded, cancel := context.WithTimeout(context.Background(), config.ShutdownLimit)
 	defer cancel()
--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -16,7 +16,9 @@
 		a.Ready = s.ReadySince
 	})
 	n.directory.applyOwn(n.members.Self())
-	n.ownership.follow(s.Service)
+	if n.store != nil {
+		n.ownership.follow(s.Service)
+	}
 	switch {
 	case s.Draining:
 		n.work.Begin()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,8 @@
 	callers *drain.State
 	work    *drain.State
 
-	servers []*http.Server
+	servers    []*http.Server
+	superseded chan struct{}
 	// running ends when the node closes.
 	running context.Context
 	cancel  context.CancelFunc
@@ -79,6 +80,7 @@
 		peerClient: peer.NewClient(peer.ClientConfig{}),
 		callers:    drain.NewState(nil),
 		work:       drain.NewState(nil),
+		superseded: make(chan struct{}),
 	}
 	n.running, n.cancel = context.WithCancel(context.Background())
 	n.peers = newPeerClients(n.peerClient.ControlClient())
@@ -151,10 +153,17 @@
 	return nil
 }
 
-// replaced is called when a newer process uses this node's id.
+// replaced is called once, when a newer process uses this node's id.
 func (n *Node) replaced(m membership.Member) {
 	n.log.Warn().Str("address", m.Addresses.Peer).Uint64("incarnation", m.Incarnation).
 		Msg("another process runs with this node id")
+	close(n.superseded)
+}
+
+// Superseded is closed when a newer process uses this node's id. The node has to
+// shut down then, since the fleet listens only to the newer one.
+func (n *Node) Superseded() <-chan struct{} {
+	return n.superseded
 }
 
 func (n *Node) buildDataPath() {
