--- /dev/null
+++ b/test/cmd/inforce/main.go
@@ -0,0 +1,131 @@
+// Command inforce measures the time from an accepted settings change until it is
+// in force at every node of a fleet of real processes.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/test/fleet"
+)
+
+const (
+	pollInterval = 10 * time.Millisecond
+	changeLimit  = 30 * time.Second
+)
+
+func main() {
+	binDir := flag.String("bin", "bin", "directory of the programs")
+	nodes := flag.Int("nodes", 28, "number of nodes")
+	changes := flag.Int("changes", 20, "number of settings changes")
+	flag.Parse()
+	if err := run(context.Background(), *binDir, *nodes, *changes); err != nil {
+		fmt.Fprintln(os.Stderr, "inforce:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, binDir string, nodes, changes int) error {
+	workDir, err := os.MkdirTemp("", "mustardwing-inforce")
+	if err != nil {
+		return errors.Wrap(err, "work directory")
+	}
+	defer os.RemoveAll(workDir)
+	f, err := fleet.Start(ctx, binDir, workDir, fleet.Deployment{
+		Region:         "ro",
+		FailureDomains: []string{"ro-a", "ro-b", "ro-c", "ro-d"},
+		Services:       []fleet.ServiceSpec{{Name: "search", Instances: nodes, Slots: 4, Connections: 20, ServiceTime: time.Millisecond}},
+		Policy:         "full",
+		LogLevel:       "warn",
+		Settings:       map[string]string{"settings/default": fleet.ScopeObject(nil)},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	var times []time.Duration
+	version := int64(0)
+	for range changes {
+		started := time.Now()
+		if version, err = change(f.PlatformURL, version); err != nil {
+			return err
+		}
+		if err := waitInForce(f, version); err != nil {
+			return err
+		}
+		times = append(times, time.Since(started))
+		time.Sleep(time.Second)
+	}
+	slices.Sort(times)
+	fmt.Printf("%d nodes, %d changes, in force everywhere: median %s, slowest %s\n", nodes, changes,
+		times[len(times)/2].Round(time.Millisecond), times[len(times)-1].Round(time.Millisecond))
+	return nil
+}
+
+// change writes a scope of its own and returns the version of the write.
+func change(platform string, version int64) (int64, error) {
+	body, err := json.Marshal(map[string][]byte{"value": []byte(fleet.ScopeObject(nil))})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode scope")
+	}
+	url := fmt.Sprintf("%s/v1/objects/settings/service/search?if_version=%d", platform, version)
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrap(err, "build request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, errors.Wrap(err, "write scope")
+	}
+	defer resp.Body.Close()
+	var object struct {
+		Version int64 `json:"version"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&object)
+	return object.Version, errors.Wrapf(err, "write scope: %s", resp.Status)
+}
+
+func waitInForce(f *fleet.Fleet, version int64) error {
+	var wg sync.WaitGroup
+	late := make(chan string, len(f.Instances("")))
+	for _, i := range f.Instances("") {
+		wg.Go(func() {
+			if !inForce(i.Node.Addresses.Admin, version) {
+				late <- i.Node.Name
+			}
+		})
+	}
+	wg.Wait()
+	if len(late) > 0 {
+		return errors.Errorf("revision %d is not in force at %s after %s", version, <-late, changeLimit)
+	}
+	return nil
+}
+
+func inForce(admin string, version int64) bool {
+	for deadline := time.Now().Add(changeLimit); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		resp, err := http.Get("http://" + admin + "/status")
+		if err != nil {
+			continue
+		}
+		var status struct {
+			SettingsRevision int64 `json:"settings_revision"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&status)
+		_ = resp.Body.Close()
+		if err == nil && status.SettingsRevision >= version {
+			return true
+		}
+	}
+	return false
+}
