Fleet: one poll loop in place of four

Cause: the fleet package had the same loop for members, readiness and revisions, and the inforce command had a fourth with its own reading of a node's status. Change: fleet.poll serves all; inforce uses Node.WaitForRevisionEvery with its interval of 10 ms.

--- a/test/cmd/inforce/main.go
+++ b/test/cmd/inforce/main.go
@@ -11,18 +11,15 @@
 	"net/http"
 	"os"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardwing/mustardwing/test/fleet"
 )
 
-const (
-	pollInterval = 10 * time.Millisecond
-	changeLimit  = 30 * time.Second
-)
+const pollInterval = 10 * time.Millisecond
 
 func main() {
 	binDir := flag.String("bin", "bin", "directory of the programs")
@@ -60,7 +57,7 @@
 		if version, err = change(f.PlatformURL, version); err != nil {
 			return err
 		}
-		if err := waitInForce(f, version); err != nil {
+		if err := waitInForce(ctx, f, version); err != nil {
 			return err
 		}
 		times = append(times, time.Since(started))
@@ -95,37 +92,10 @@
 	return object.Version, errors.Wrapf(err, "write scope: %s", resp.Status)
 }
 
-func waitInForce(f *fleet.Fleet, version int64) error {
-	var wg sync.WaitGroup
-	late := make(chan string, len(f.Instances("")))
+func waitInForce(ctx context.Context, f *fleet.Fleet, version int64) error {
+	group, ctx := errgroup.WithContext(ctx)
 	for _, i := range f.Instances("") {
-		wg.Go(func() {
-			if !inForce(i.Node.Addresses.Admin, version) {
-				late <- i.Node.Name
-			}
-		})
-	}
-	wg.Wait()
-	if len(late) > 0 {
-		return errors.Errorf("revision %d is not in force at %s after %s", version, <-late, changeLimit)
-	}
-	return nil
-}
-
-func inForce(admin string, version int64) bool {
-	for deadline := time.Now().Add(changeLimit); time.Now().Before(deadline); time.Sleep(pollInterval) {
-		resp, err := http.Get("http://" + admin + "/status")
-		if err != nil {
-			continue
-		}
-		var status struct {
-			SettingsRevision int64 `json:"settings_revision"`
-		}
-		err = json.NewDecoder(resp.Body).Decode(&status)
-		_ = resp.Body.Close()
-		if err == nil && status.SettingsRevision >= version {
-			return true
-		}
+		group.Go(func() error { return i.Node.WaitForRevisionEvery(ctx, pollInterval, version) })
 	}
-	return false
+	return group.Wait()
 }
--- a/test/fleet/status.go
+++ b/test/fleet/status.go
@@ -26,19 +26,21 @@
 
 // WaitForRevision waits until a settings revision is in force at the node.
 func (n *Node) WaitForRevision(ctx context.Context, want int64) error {
+	return n.WaitForRevisionEvery(ctx, readyInterval, want)
+}
+
+// WaitForRevisionEvery is WaitForRevision with an interval of its own, for
+// measurements.
+func (n *Node) WaitForRevisionEvery(ctx context.Context, interval time.Duration, want int64) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for {
+	return poll(ctx, interval, func() error {
 		status, err := n.Status()
 		if err == nil && status.SettingsRevision == want {
 			return nil
 		}
-		select {
-		case <-time.After(readyInterval):
-		case <-ctx.Done():
-			return errors.Errorf("%s: status %+v, want revision %d, last error %v", n.Name, status, want, err)
-		}
-	}
+		return errors.Errorf("%s: status %+v, want revision %d, last error %v", n.Name, status, want, err)
+	})
 }
 
 // SettingsRevision reads the highest version of a settings object in the store.
--- a/test/fleet/wait.go
+++ b/test/fleet/wait.go
@@ -71,16 +71,12 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, i := range f.Instances("") {
-		for {
+		err := poll(ctx, readyInterval, func() error {
 			_, err := get("http://" + i.Node.Addresses.Admin + "/readyz")
-			if err == nil {
-				break
-			}
-			select {
-			case <-time.After(readyInterval):
-			case <-ctx.Done():
-				return errors.Wrapf(err, "%s is not ready", i.Node.Name)
-			}
+			return err
+		})
+		if err != nil {
+			return errors.Wrapf(err, "%s is not ready", i.Node.Name)
 		}
 	}
 	return nil
@@ -92,15 +88,11 @@
 }
 
 func (n *Node) waitFor(ctx context.Context, ok func([]MemberView) bool) error {
-	for {
+	return poll(ctx, readyInterval, func() error {
 		members, err := n.Members()
 		if err == nil && ok(members) {
 			return nil
 		}
-		select {
-		case <-time.After(readyInterval):
-		case <-ctx.Done():
-			return errors.Errorf("%s: members table %+v, last error %v; log: %s", n.Name, members, err, n.Log())
-		}
-	}
+		return errors.Errorf("%s: members table %+v, last error %v; log: %s", n.Name, members, err, n.Log())
+	})
 }
