--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,101 @@
+// Package budget bounds the repeats that this node sends to each service, so
+// that those of all nodes together stay within the operators' bound without the
+// nodes talking to each other.
+package budget
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// ratioPart is the part of the operators' ratio that one hop may use. A
+	// repeated call repeats the calls below it, so the ratios of the hops of a
+	// chain multiply; four hops at this part stay within the whole.
+	ratioPart = 0.22
+	// slackPart is the part of the fixed allowance that one service's callers may
+	// use, for the same reason.
+	slackPart = 0.25
+)
+
+// Bounds are the operators' bounds for the repeats at one service.
+type Bounds struct {
+	// Ratio is the number of repeats for each first arrival.
+	Ratio float64
+	// Slack is the number of repeats allowed besides in one window, for all nodes.
+	Slack float64
+	// Window is the length of any span in which the bounds hold.
+	Window time.Duration
+}
+
+// Budget holds an allowance for each service. It is safe for concurrent use.
+type Budget struct {
+	bounds Bounds
+
+	mu       sync.Mutex
+	nodes    int
+	services map[string]*allowance
+}
+
+// allowance is a token bucket that first arrivals fill. What it holds at most
+// is this node's part of the slack, which also refills over a window.
+type allowance struct {
+	tokens float64
+	filled time.Time
+}
+
+// New returns a budget for a fleet of one node.
+func New(bounds Bounds) *Budget {
+	return &Budget{bounds: bounds, nodes: 1, services: make(map[string]*allowance)}
+}
+
+// SetNodes says how many nodes share the slack.
+func (b *Budget) SetNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = max(1, n)
+}
+
+// capacity is this node's part of the slack. Half of it is the most the bucket
+// holds and half refills within a window, so no window sees more than the part.
+func (b *Budget) capacity() float64 {
+	return slackPart * b.bounds.Slack / float64(b.nodes)
+}
+
+func (b *Budget) get(now time.Time, service string) *allowance {
+	a, ok := b.services[service]
+	if !ok {
+		a = &allowance{tokens: b.capacity() / 2, filled: now}
+		b.services[service] = a
+	}
+	refill := now.Sub(a.filled).Seconds() / b.bounds.Window.Seconds() * b.capacity() / 2
+	a.tokens += max(0, refill)
+	a.filled = now
+	return a
+}
+
+// Arrived counts the first arrival of a call.
+func (b *Budget) Arrived(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.get(now, service)
+	a.tokens = min(a.tokens+ratioPart*b.bounds.Ratio, b.limit())
+}
+
+// limit bounds what is saved up. At least one repeat must fit.
+func (b *Budget) limit() float64 {
+	return max(1, b.capacity()/2)
+}
+
+// Take pays for one repeat and reports whether the allowance covered it.
+func (b *Budget) Take(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.get(now, service)
+	a.tokens = min(a.tokens, b.limit())
+	if a.tokens < 1 {
+		return false
+	}
+	a.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,175 @@
+// Package directory holds what this node knows of all nodes and their upstreams.
+// Each node writes its own entry; entries spread through the platform's store and
+// from node to node, and of two entries of one address the higher version holds.
+package directory
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Directory is safe for concurrent use.
+type Directory struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	self    Entry
+	entries map[string]Entry
+	changed []func([]Entry)
+}
+
+// New returns a directory that holds only the entry of this node. Now is the
+// clock; its time of day makes the first version exceed that of earlier
+// processes at this address, and a version that is behind is raised once the
+// earlier entry is seen.
+func New(self Entry, now func() time.Time) *Directory {
+	self.Version = uint64(max(1, now().UnixMilli()))
+	self.Learned = now()
+	return &Directory{now: now, self: self, entries: map[string]Entry{self.Node: self}}
+}
+
+// OnChange registers a function that receives the entries that changed. It is
+// called without the lock and must not be registered later than the first merge.
+func (d *Directory) OnChange(f func([]Entry)) {
+	d.changed = append(d.changed, f)
+}
+
+// UpdateSelf changes this node's entry and returns it. It does nothing when f
+// leaves the entry as it was.
+func (d *Directory) UpdateSelf(f func(*Entry)) Entry {
+	d.mu.Lock()
+	next := d.self
+	if next.Upstream != nil {
+		upstream := *next.Upstream
+		next.Upstream = &upstream
+	}
+	f(&next)
+	if sameEntry(next, d.self) {
+		d.mu.Unlock()
+		return next
+	}
+	next.Version = d.self.Version + 1
+	next.Learned = d.now()
+	d.self = next
+	d.entries[next.Node] = next
+	d.mu.Unlock()
+	d.notify([]Entry{next})
+	return next
+}
+
+func sameEntry(a, b Entry) bool {
+	if (a.Upstream == nil) != (b.Upstream == nil) {
+		return false
+	}
+	if a.Upstream != nil && *a.Upstream != *b.Upstream {
+		return false
+	}
+	return a.Leaving == b.Leaving && a.Removed == b.Removed && a.Address == b.Address
+}
+
+// Merge takes in entries of other writers and returns those that were news. A
+// foreign entry of this node's own address raises the version of its own.
+func (d *Directory) Merge(entries []Entry) []Entry {
+	d.mu.Lock()
+	var news []Entry
+	for _, e := range entries {
+		if e.Node == "" || e.Address == "" {
+			continue
+		}
+		if e.Node == d.self.Node {
+			if raised, ok := d.raise(e); ok {
+				news = append(news, raised)
+			}
+			continue
+		}
+		if known, ok := d.entries[e.Node]; ok && known.Version >= e.Version {
+			continue
+		}
+		e.Learned = d.now()
+		d.entries[e.Node] = e
+		news = append(news, e)
+	}
+	d.mu.Unlock()
+	if len(news) > 0 {
+		d.notify(news)
+	}
+	return news
+}
+
+// raise makes this node's entry newer than one of an earlier process.
+func (d *Directory) raise(e Entry) (Entry, bool) {
+	if e.Version < d.self.Version || (e.Version == d.self.Version && sameEntry(e, d.self)) {
+		return Entry{}, false
+	}
+	d.self.Version = e.Version + 1
+	d.entries[d.self.Node] = d.self
+	return d.self, true
+}
+
+func (d *Directory) notify(news []Entry) {
+	for _, f := range d.changed {
+		f(news)
+	}
+}
+
+// Self returns this node's entry.
+func (d *Directory) Self() Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.self
+}
+
+// Get returns the entry of an address.
+func (d *Directory) Get(node string) (Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[node]
+	return e, ok
+}
+
+// All returns all entries, sorted by address.
+func (d *Directory) All() []Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]Entry, 0, len(d.entries))
+	for _, e := range d.entries {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return strings.Compare(a.Node, b.Node) })
+	return all
+}
+
+// Peers returns the addresses of the other nodes that were not removed.
+func (d *Directory) Peers() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var peers []string
+	for _, e := range d.entries {
+		if e.Node != d.self.Node && !e.Removed {
+			peers = append(peers, e.Address)
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
+// Digest is equal for equal directories.
+func (d *Directory) Digest() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var sum uint64
+	for _, e := range d.entries {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(e.Node))
+		var version [8]byte
+		for i := range version {
+			version[i] = byte(e.Version >> (8 * i))
+		}
+		_, _ = h.Write(version[:])
+		sum ^= h.Sum64()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,221 @@
+// Package gossip spreads the directory and the configuration from node to node,
+// so that nodes that cannot reach the platform's store learn from those that can.
+// A node compares digests with one random other node at a time, and tells news
+// at once to a few.
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/h1"
+)
+
+const (
+	// interval is the mean time between two exchanges of a node. With the fanout,
+	// a change reaches a hundred nodes in about four exchanges.
+	interval = 500 * time.Millisecond
+	// exchangeTimeout bounds one exchange; it is far above a round trip between
+	// regions.
+	exchangeTimeout = 600 * time.Millisecond
+	// newsFanout is the number of nodes that are told of news at once.
+	newsFanout = 3
+	// maxMessageBytes bounds a message: the directory of a thousand nodes and a
+	// configuration of the largest stored size.
+	maxMessageBytes = 4 << 20
+)
+
+// Sender exchanges a request with the node at an address.
+type Sender interface {
+	Exchange(ctx context.Context, address string, r *h1.Request, deadline time.Time) (*h1.Response, error)
+}
+
+// Config holds what a Gossiper needs.
+type Config struct {
+	Directory *directory.Directory
+	Document  *Document
+	Sender    Sender
+	// Seeds are addresses to ask while the directory knows no other node.
+	Seeds []string
+	Log   zerolog.Logger
+	Scope tally.Scope
+}
+
+// Gossiper runs the exchanges of one node.
+type Gossiper struct {
+	config    Config
+	exchanges tally.Counter
+	failures  tally.Counter
+	news      chan struct{}
+
+	mu      sync.Mutex
+	pending map[string]directory.Entry
+}
+
+// New returns a gossiper; Run starts it.
+func New(config Config) *Gossiper {
+	g := &Gossiper{
+		config:    config,
+		exchanges: config.Scope.Counter("gossip_exchanges"),
+		failures:  config.Scope.Counter("gossip_failures"),
+		news:      make(chan struct{}, 1),
+		pending:   make(map[string]directory.Entry),
+	}
+	return g
+}
+
+// Tell passes news on to a few nodes at once.
+func (g *Gossiper) Tell(entries []directory.Entry) {
+	g.mu.Lock()
+	for _, e := range entries {
+		g.pending[e.Node] = e
+	}
+	g.mu.Unlock()
+	g.TellConfig()
+}
+
+// TellConfig passes the configuration on to a few nodes at once.
+func (g *Gossiper) TellConfig() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
+}
+
+// Run exchanges until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) {
+	timer := time.NewTimer(g.pause())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.news:
+			g.spreadNews(ctx)
+		case <-timer.C:
+			if peers := g.pick(1); len(peers) > 0 {
+				g.exchange(ctx, peers[0])
+			}
+			timer.Reset(g.pause())
+		}
+	}
+}
+
+// pause varies so that nodes started together do not stay in step.
+func (g *Gossiper) pause() time.Duration {
+	return interval/2 + rand.N(interval)
+}
+
+func (g *Gossiper) pick(n int) []string {
+	peers := g.config.Directory.Peers()
+	if len(peers) == 0 {
+		peers = append([]string(nil), g.config.Seeds...)
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
+
+func (g *Gossiper) spreadNews(ctx context.Context) {
+	g.mu.Lock()
+	m := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
+	for _, e := range g.pending {
+		m.Entries = append(m.Entries, e)
+	}
+	clear(g.pending)
+	g.mu.Unlock()
+	for _, peer := range g.pick(newsFanout) {
+		go func() {
+			reply, err := g.send(ctx, peer, m)
+			if err == nil {
+				g.take(reply, peer)
+				g.sendWanted(ctx, peer, reply)
+			}
+		}()
+	}
+}
+
+// exchange compares what both nodes know and evens it out.
+func (g *Gossiper) exchange(ctx context.Context, peer string) {
+	reply, err := g.send(ctx, peer, message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()})
+	if err != nil {
+		g.failures.Inc(1)
+		return
+	}
+	g.exchanges.Inc(1)
+	g.take(reply, peer)
+	g.sendWanted(ctx, peer, reply)
+}
+
+// sendWanted sends what the reply shows that the peer lacks.
+func (g *Gossiper) sendWanted(ctx context.Context, peer string, reply message) {
+	m := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
+	if len(reply.Entries) > 0 && reply.Digest != m.Digest {
+		m.Entries = g.config.Directory.All()
+	}
+	if reply.ConfigVersion < m.ConfigVersion {
+		m.Config = g.config.Document.Raw()
+	}
+	if m.Entries != nil || m.Config != nil {
+		if _, err := g.send(ctx, peer, m); err != nil {
+			g.failures.Inc(1)
+		}
+	}
+}
+
+func (g *Gossiper) send(ctx context.Context, peer string, m message) (message, error) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return message{}, err
+	}
+	r := &h1.Request{Method: http.MethodPost, Target: Path, Host: peer, Header: http.Header{}, Body: body}
+	response, err := g.config.Sender.Exchange(ctx, peer, r, time.Now().Add(exchangeTimeout))
+	if err != nil {
+		return message{}, err
+	}
+	var reply message
+	return reply, json.Unmarshal(response.Body, &reply)
+}
+
+// take merges what another node sent.
+func (g *Gossiper) take(m message, peer string) {
+	if len(m.Entries) > 0 {
+		g.config.Directory.Merge(m.Entries)
+	}
+	if len(m.Config) > 0 {
+		g.config.Document.Offer(m.Config, "node "+peer)
+	}
+}
+
+// Serve takes a message of another node.
+func (g *Gossiper) Serve(_ context.Context, r *h1.Request) *h1.Response {
+	var m message
+	if len(r.Body) > maxMessageBytes {
+		return &h1.Response{Status: http.StatusRequestEntityTooLarge, Header: http.Header{}}
+	}
+	if err := json.Unmarshal(r.Body, &m); err != nil {
+		g.config.Log.Warn().Err(err).Str("from", r.RemoteIP).Msg("gossip message not readable")
+		return &h1.Response{Status: http.StatusBadRequest, Header: http.Header{}}
+	}
+	g.take(m, r.RemoteIP)
+	reply := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
+	if m.Digest != reply.Digest {
+		reply.Entries = g.config.Directory.All()
+	}
+	if m.ConfigVersion < reply.ConfigVersion {
+		reply.Config = g.config.Document.Raw()
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		g.config.Log.Error().Err(err).Msg("gossip reply not encoded")
+		return &h1.Response{Status: http.StatusInternalServerError, Header: http.Header{}}
+	}
+	return &h1.Response{Status: http.StatusOK, Header: http.Header{}, Body: body}
+}
--- /dev/null
+++ b/internal/h1/clientconn.go
@@ -0,0 +1,159 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxSkipped bounds the responses to earlier requests that are passed over.
+	maxSkipped = 4
+	// idleMargin is taken off the idle time-out that the other end names.
+	idleMargin = 700 * time.Millisecond
+)
+
+var errWrongResponse = errors.New("the response belongs to another request")
+
+// clientConn is one connection to an upstream or a node. It carries one
+// exchange at a time.
+type clientConn struct {
+	pool   *Pool
+	conn   net.Conn
+	reader *bufio.Reader
+	// tainted is set when the connection must not be used again.
+	tainted   bool
+	idleSince time.Time
+	idleLimit time.Duration
+}
+
+func newClientConn(p *Pool, c net.Conn) *clientConn {
+	return &clientConn{pool: p, conn: c, reader: bufio.NewReaderSize(c, readBuffer), idleLimit: p.config.IdleTimeout}
+}
+
+// usable reports whether an idle connection may carry another request. Bytes
+// that arrived after a complete response belong to no request.
+func (c *clientConn) usable(now time.Time) bool {
+	return now.Sub(c.idleSince) < c.idleLimit && quiet(c.conn)
+}
+
+func (c *clientConn) exchange(ctx context.Context, r *Request, deadline time.Time) (*Response, error) {
+	if err := c.conn.SetDeadline(deadline); err != nil {
+		return nil, &SendError{Sent: false, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	written, err := c.send(r)
+	if err != nil {
+		return nil, &SendError{Sent: true, Cause: err}
+	}
+	response, err := c.receive(r)
+	if err != nil {
+		return nil, &SendError{Sent: true, Cause: err}
+	}
+	if !stop() {
+		c.tainted = true
+	}
+	select {
+	case err := <-written:
+		c.tainted = c.tainted || err != nil
+	default:
+		// The response came before the whole body was sent. What is left of the
+		// body would be taken for the next request.
+		c.tainted = true
+	}
+	return response, nil
+}
+
+// send writes the request. A large body is written while the response is
+// awaited; the channel receives its outcome.
+func (c *clientConn) send(r *Request) (<-chan error, error) {
+	written := make(chan error, 1)
+	buffer := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+	*buffer = appendRequestHead((*buffer)[:0], r)
+	if len(r.Body) > inlineBodyBytes/4 {
+		if _, err := c.conn.Write(*buffer); err != nil {
+			return nil, err
+		}
+		go func() {
+			_, err := c.conn.Write(r.Body)
+			written <- err
+		}()
+		return written, nil
+	}
+	*buffer = append(*buffer, r.Body...)
+	_, err := c.conn.Write(*buffer)
+	written <- err
+	return written, err
+}
+
+// receive returns the response to r and passes over late ones to others.
+func (c *clientConn) receive(r *Request) (*Response, error) {
+	for range maxSkipped {
+		response, err := c.readResponse(r)
+		if err != nil {
+			return nil, err
+		}
+		if c.pool.config.SameResponse == nil || c.pool.config.SameResponse(r, response) {
+			return response, nil
+		}
+		c.tainted = true
+	}
+	return nil, errWrongResponse
+}
+
+func (c *clientConn) readResponse(r *Request) (*Response, error) {
+	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		return nil, err
+	}
+	if parsed.StatusCode < http.StatusOK {
+		return c.readResponse(r)
+	}
+	limit := c.pool.config.MaxResponseBytes
+	body, err := readResponseBody(parsed, limit)
+	if err != nil {
+		return nil, errors.Wrapf(err, "body of a response with status %d", parsed.StatusCode)
+	}
+	if int64(len(body)) > limit {
+		return nil, errors.Wrapf(errTooLarge, "response body: want at most %d bytes", limit)
+	}
+	c.noteReuse(parsed)
+	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Body: body}
+	removeConnectionHeaders(response.Header)
+	return response, nil
+}
+
+func readResponseBody(r *http.Response, limit int64) ([]byte, error) {
+	if r.ContentLength >= 0 && r.ContentLength <= limit {
+		body := make([]byte, r.ContentLength)
+		if r.Body == http.NoBody {
+			return nil, nil
+		}
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(r.Body, limit+1))
+}
+
+// noteReuse takes in what the response says about its connection.
+func (c *clientConn) noteReuse(r *http.Response) {
+	if r.Close || c.reader.Buffered() > 0 {
+		c.tainted = true
+	}
+	c.idleLimit = c.pool.config.IdleTimeout
+	for _, parameter := range splitList(r.Header.Get("Keep-Alive")) {
+		value, ok := strings.CutPrefix(parameter, "timeout=")
+		if seconds, err := strconv.Atoi(value); ok && err == nil {
+			c.idleLimit = min(c.idleLimit, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/caller.go
@@ -0,0 +1,151 @@
+package mesh
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mustardwing/mustardwing/internal/budget"
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/h1"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/routing"
+)
+
+const (
+	// defaultTimeout bounds a call for which neither its caller nor its route
+	// names a time.
+	defaultTimeout = 30 * time.Second
+	// goldenRatio spreads consecutive calls evenly over the weights of a route.
+	goldenRatio = 0.6180339887498949
+)
+
+// CallerConfig holds what a Caller needs.
+type CallerConfig struct {
+	// Service is the service on this machine, IP the address of its upstream:
+	// calls from there are made by the upstream itself.
+	Service   string
+	IP        string
+	Protocol  Protocol
+	Routes    func() *routing.Table
+	Instances *Instances
+	Links     *Links
+	Budget    *budget.Budget
+	Log       zerolog.Logger
+	Scope     tally.Scope
+}
+
+// Caller takes the calls that begin on this machine and carries them to an
+// instance of their service.
+type Caller struct {
+	config  CallerConfig
+	turn    atomic.Uint64
+	calls   tally.Counter
+	repeats tally.Counter
+	moves   tally.Counter
+	latency tally.Histogram
+	results map[resultcode.Code]tally.Counter
+}
+
+// NewCaller returns a caller.
+func NewCaller(config CallerConfig) *Caller {
+	c := &Caller{
+		config:  config,
+		calls:   config.Scope.Counter("calls"),
+		repeats: config.Scope.Counter("call_repeats"),
+		moves:   config.Scope.Counter("call_moves"),
+		latency: config.Scope.Histogram("call_latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
+		results: make(map[resultcode.Code]tally.Counter),
+	}
+	for _, e := range resultcode.Entries() {
+		c.results[e.Code] = config.Scope.Tagged(map[string]string{"code": strconv.Itoa(int(e.Code))}).Counter("call_results")
+	}
+	return c
+}
+
+// Serve implements h1.Handler.
+func (c *Caller) Serve(ctx context.Context, r *h1.Request) *h1.Response {
+	c.calls.Inc(1)
+	call.Strip(r.Header)
+	info := c.config.Protocol.DecodeCall(r.Header)
+	table := c.config.Routes()
+	if table == nil {
+		return c.refuse(r, info, nil, resultcode.New(resultcode.NoInstance, "no configuration is known yet"))
+	}
+	route := table.Match(r.Host, r.Target)
+	if route == nil {
+		return c.refuse(r, info, nil, resultcode.New(resultcode.UnknownService, "host %q and path %q match no route of version %d", r.Host, r.Target, table.Version))
+	}
+	response := c.start(r, info, route).run(ctx)
+	c.latency.RecordDuration(time.Since(r.Arrived))
+	return response
+}
+
+// start describes the call.
+func (c *Caller) start(r *h1.Request, info CallInfo, route *routing.Route) *outgoing {
+	timeout := defaultTimeout
+	if info.Timeout > 0 {
+		timeout = info.Timeout
+	}
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	_, point := math.Modf(float64(c.turn.Add(1)) * goldenRatio)
+	return &outgoing{
+		caller: c, request: r, info: info, route: route,
+		service:  route.Pick(point),
+		nested:   r.RemoteIP == c.config.IP,
+		deadline: r.Arrived.Add(timeout),
+	}
+}
+
+// refuse responds to a call that was sent to no upstream.
+func (c *Caller) refuse(r *h1.Request, info CallInfo, route *routing.Route, failure *resultcode.Error) *h1.Response {
+	c.count(failure.Code)
+	kind := ""
+	if route != nil {
+		kind = route.Name
+	}
+	c.config.Log.Info().Str("id", info.ID).Str("kind", kind).Int("code", int(failure.Code)).
+		Dur("age", time.Since(r.Arrived)).Str("detail", failure.Detail).Msg("call refused")
+	return c.respond(info, failure)
+}
+
+func (c *Caller) count(code resultcode.Code) {
+	if counter, ok := c.results[code]; ok {
+		counter.Inc(1)
+	}
+}
+
+// respond makes a response of this node's own.
+func (c *Caller) respond(info CallInfo, failure *resultcode.Error) *h1.Response {
+	status := statusOf(failure)
+	header := http.Header{}
+	c.config.Protocol.SetID(header, info.ID)
+	header[call.HeaderCode] = []string{strconv.Itoa(int(failure.Code))}
+	header[call.HeaderRun] = []string{failure.Execution.String()}
+	if status == http.StatusServiceUnavailable {
+		header["Retry-After"] = []string{retryAfter()}
+	}
+	return &h1.Response{Status: status, Header: header, Body: []byte(failure.Detail + "\n")}
+}
+
+// statusOf keeps the statuses that promise "not run" for calls that were not run.
+func statusOf(failure *resultcode.Error) int {
+	if failure.Execution == resultcode.NotRun {
+		if failure.Code == resultcode.UnknownService || failure.Code == resultcode.MalformedHeader {
+			return resultcode.Lookup(failure.Code).HTTPStatus
+		}
+		return http.StatusServiceUnavailable
+	}
+	if failure.Code == resultcode.DeadlineExceeded {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/internal/mesh/hop.go
@@ -0,0 +1,106 @@
+package mesh
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/admission"
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Headers between nodes besides those of package call.
+const (
+	headerInstance = "Mustardwing-Instance"
+	headerCaller   = "Mustardwing-Caller"
+	// headerNested is set on calls that an upstream makes while it runs another.
+	headerNested = "Mustardwing-Nested"
+	// headerReached says on a failure whether the upstream received the call.
+	headerReached = "Mustardwing-Reached"
+)
+
+// hop is what one node tells the node beside the chosen upstream.
+type hop struct {
+	ID         string
+	Instance   string
+	Kind       string
+	Caller     string
+	Priority   call.Priority
+	Nested     bool
+	Idempotent bool
+	Timeout    time.Duration
+}
+
+func (p hop) encode(h http.Header) {
+	h[call.HeaderRequestID] = []string{p.ID}
+	h[headerInstance] = []string{p.Instance}
+	h[call.HeaderKind] = []string{p.Kind}
+	h[headerCaller] = []string{p.Caller}
+	h[call.HeaderPriority] = []string{p.Priority.String()}
+	h[call.HeaderTimeout] = []string{strconv.FormatInt(p.Timeout.Milliseconds(), 10)}
+	if p.Nested {
+		h[headerNested] = []string{"1"}
+	}
+	if !p.Idempotent {
+		h[call.HeaderRepeatable] = []string{"no"}
+	}
+}
+
+// decodeHop reads and removes the headers between nodes.
+func decodeHop(h http.Header) (hop, error) {
+	milliseconds, err := strconv.ParseInt(h.Get(call.HeaderTimeout), 10, 64)
+	if err != nil {
+		return hop{}, errors.Wrapf(err, "%s: want milliseconds", call.HeaderTimeout)
+	}
+	priority, err := call.ParsePriority(h.Get(call.HeaderPriority))
+	if err != nil {
+		return hop{}, err
+	}
+	p := hop{
+		ID: h.Get(call.HeaderRequestID), Instance: h.Get(headerInstance), Kind: h.Get(call.HeaderKind),
+		Caller: h.Get(headerCaller), Priority: priority, Nested: h.Get(headerNested) != "",
+		Idempotent: h.Get(call.HeaderRepeatable) == "", Timeout: time.Duration(milliseconds) * time.Millisecond,
+	}
+	call.Strip(h)
+	return p, nil
+}
+
+// verdict is what the node beside the upstream reports on a response.
+type verdict struct {
+	Code      resultcode.Code
+	Execution resultcode.Execution
+	// Reached is set when the upstream received the call, run or not.
+	Reached bool
+	Load    *admission.Load
+	Detail  string
+}
+
+func (v verdict) encode(h http.Header) {
+	h[call.HeaderCode] = []string{strconv.Itoa(int(v.Code))}
+	h[call.HeaderRun] = []string{v.Execution.String()}
+	if v.Reached {
+		h[headerReached] = []string{"1"}
+	}
+	if v.Load != nil {
+		h[call.HeaderLoad] = []string{v.Load.String()}
+	}
+}
+
+// decodeVerdict reads and removes the headers between nodes. A response without
+// them is of unknown outcome.
+func decodeVerdict(h http.Header) verdict {
+	v := verdict{Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != ""}
+	if code, err := strconv.Atoi(h.Get(call.HeaderCode)); err == nil {
+		v.Code = resultcode.Code(code)
+	}
+	if text := h.Get(call.HeaderLoad); text != "" {
+		if load, err := admission.ParseLoad(text); err == nil {
+			v.Load = &load
+		}
+	}
+	call.Strip(h)
+	return v
+}
--- /dev/null
+++ b/internal/mesh/outgoing.go
@@ -0,0 +1,253 @@
+package mesh
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/balancer"
+	"github.com/mustardwing/mustardwing/internal/h1"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/routing"
+)
+
+const (
+	// maxMoves bounds the instances that are tried without reaching an upstream.
+	maxMoves = 8
+	// minRepeatTime is the time that must be left for another attempt.
+	minRepeatTime = 20 * time.Millisecond
+	// retryAfterBase and retryAfterSpread spread the return of refused callers.
+	retryAfterBase   = 400 * time.Millisecond
+	retryAfterSpread = 800 * time.Millisecond
+)
+
+func retryAfter() string {
+	wait := retryAfterBase + rand.N(retryAfterSpread)
+	return strconv.FormatFloat(wait.Seconds(), 'f', 2, 64)
+}
+
+// outgoing is one call on its way to an instance.
+type outgoing struct {
+	caller   *Caller
+	request  *h1.Request
+	info     CallInfo
+	route    *routing.Route
+	service  string
+	nested   bool
+	deadline time.Time
+
+	// tried lists the instances that were tried.
+	tried []string
+	// reached counts the upstreams that received the call, moves the instances
+	// that did not pass it on.
+	reached, moves int
+	// mayHaveRun is the first failure after which the call may have run.
+	mayHaveRun *resultcode.Error
+	// answered is an upstream's own failure, which is delivered when no other
+	// upstream does better.
+	answered *attempt
+}
+
+// attempt is the end of one try.
+type attempt struct {
+	choice   balancer.Choice
+	response *h1.Response
+	verdict  verdict
+	latency  time.Duration
+}
+
+// run tries instances until one has run the call or no further try is allowed.
+func (o *outgoing) run(ctx context.Context) *h1.Response {
+	o.caller.config.Budget.Arrived(time.Now(), o.service)
+	for {
+		choice, b, failure := o.pick()
+		if failure != nil {
+			return o.conclude(failure)
+		}
+		a := o.send(ctx, choice)
+		b.Done(time.Now(), choice, a.feedback())
+		if a.verdict.Code == resultcode.OK {
+			if !o.worthRepeat(a) {
+				return o.deliver(a)
+			}
+			o.answered = &a
+		}
+		if ctx.Err() != nil {
+			return o.conclude(resultcode.New(resultcode.CallerGone, "the caller left"))
+		}
+		if !o.mayRepeat(a) {
+			return o.conclude(a.failure())
+		}
+		o.logRepeat(a)
+	}
+}
+
+// pick chooses an instance that was not tried.
+func (o *outgoing) pick() (balancer.Choice, *balancer.Balancer, *resultcode.Error) {
+	now := time.Now()
+	b, avoid := o.caller.config.Instances.find(now, o.service)
+	if b == nil {
+		return balancer.Choice{}, nil, resultcode.New(resultcode.NoInstance, "no instance of service %q is known", o.service)
+	}
+	p := o.hop()
+	request := balancer.PickRequest{
+		Kind: o.route.Name, Priority: p.level(), Rank: p.rank(),
+		Exclude: append(avoid, o.tried...), LowestLevel: len(o.tried) > 0,
+	}
+	choice, err := b.Pick(now, request)
+	if err != nil && len(avoid) > 0 && resultcode.From(err).Code == resultcode.NoInstance {
+		// Only suspects are left; one of them may be back.
+		request.Exclude = o.tried
+		choice, err = b.Pick(now, request)
+	}
+	if err != nil {
+		return balancer.Choice{}, nil, resultcode.From(err)
+	}
+	o.tried = append(o.tried, choice.Instance.ID)
+	return choice, b, nil
+}
+
+func (o *outgoing) hop() hop {
+	return hop{
+		ID: o.info.ID, Kind: o.route.Name, Caller: o.caller.config.Service, Priority: o.route.Priority,
+		Nested: o.nested, Idempotent: o.route.Idempotent, Timeout: time.Until(o.deadline),
+	}
+}
+
+// send makes one try.
+func (o *outgoing) send(ctx context.Context, choice balancer.Choice) attempt {
+	started := time.Now()
+	a := attempt{choice: choice}
+	p := o.hop()
+	p.Instance = choice.Instance.ID
+	if p.Timeout < time.Millisecond {
+		a.verdict = verdict{Code: resultcode.DeadlineInsufficient, Execution: resultcode.NotRun, Detail: "no time is left"}
+		return a
+	}
+	r := *o.request
+	r.Header = maps.Clone(o.request.Header)
+	p.encode(r.Header)
+	response, err := o.caller.config.Links.Exchange(ctx, choice.Instance.PeerAddress, &r, o.deadline)
+	a.latency = time.Since(started)
+	if err != nil {
+		a.verdict = o.broken(ctx, choice, err)
+	} else {
+		a.verdict = decodeVerdict(response.Header)
+		a.response = response
+		o.caller.config.Instances.trust(choice.Instance.ID)
+		if code := a.verdict.Code; code == resultcode.NoInstance || code == resultcode.UpstreamUnreachable || code == resultcode.Draining {
+			o.caller.config.Instances.suspect(time.Now(), choice.Instance.ID)
+		}
+	}
+	if a.verdict.Reached {
+		o.reached++
+	} else {
+		o.moves++
+	}
+	if a.verdict.Execution != resultcode.NotRun && a.verdict.Code != resultcode.OK && o.mayHaveRun == nil {
+		o.mayHaveRun = a.failure()
+	}
+	return a
+}
+
+// broken interprets an exchange with another node that gave no response.
+func (o *outgoing) broken(ctx context.Context, choice balancer.Choice, err error) verdict {
+	var failure *h1.SendError
+	if !errors.As(err, &failure) {
+		return verdict{Code: resultcode.Internal, Execution: resultcode.Unknown, Reached: true, Detail: err.Error()}
+	}
+	if ctx.Err() != nil {
+		return verdict{Code: resultcode.CallerGone, Execution: resultcode.Unknown, Reached: failure.Sent, Detail: err.Error()}
+	}
+	if !failure.Sent {
+		o.caller.config.Instances.suspect(time.Now(), choice.Instance.ID)
+		return verdict{Code: resultcode.UpstreamUnreachable, Execution: resultcode.NotRun, Detail: err.Error()}
+	}
+	if failure.Expired() && !time.Now().Before(o.deadline) {
+		return verdict{Code: resultcode.DeadlineExceeded, Execution: resultcode.Unknown, Reached: true, Detail: err.Error()}
+	}
+	o.caller.config.Instances.suspect(time.Now(), choice.Instance.ID)
+	return verdict{Code: resultcode.ConnectionLost, Execution: resultcode.Unknown, Reached: true, Detail: err.Error()}
+}
+
+func (a attempt) feedback() balancer.Feedback {
+	return balancer.Feedback{
+		Latency: a.latency, Code: a.verdict.Code, Execution: a.verdict.Execution,
+		Failed: a.verdict.Code != resultcode.OK || a.response.Status >= 500, Load: a.verdict.Load,
+	}
+}
+
+func (a attempt) failure() *resultcode.Error {
+	failure := resultcode.New(a.verdict.Code, "instance %q: %s", a.choice.Instance.ID, a.verdict.Detail)
+	failure.Execution = a.verdict.Execution
+	return failure
+}
+
+// worthRepeat reports whether another instance may succeed where this one's
+// upstream failed.
+func (o *outgoing) worthRepeat(a attempt) bool {
+	return o.route.Idempotent && a.response.Status >= 500 && a.response.Status != 504
+}
+
+// mayRepeat decides whether another instance is tried, and pays for it.
+func (o *outgoing) mayRepeat(a attempt) bool {
+	if time.Until(o.deadline) < minRepeatTime {
+		return false
+	}
+	if a.verdict.Execution == resultcode.NotRun && !a.verdict.Reached {
+		o.caller.moves.Inc(1)
+		return o.moves < maxMoves
+	}
+	if a.verdict.Execution != resultcode.NotRun && !o.route.Idempotent {
+		return false
+	}
+	if o.reached >= max(1, o.route.MaxAttempts) {
+		return false
+	}
+	if !o.caller.config.Budget.Take(time.Now(), o.service) {
+		return false
+	}
+	o.caller.repeats.Inc(1)
+	return true
+}
+
+func (o *outgoing) logRepeat(a attempt) {
+	o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Str("instance", a.choice.Instance.ID).
+		Int("code", int(a.verdict.Code)).Str("run", a.verdict.Execution.String()).Dur("latency", a.latency).
+		Dur("left", time.Until(o.deadline)).Str("detail", a.verdict.Detail).Msg("call tried again")
+}
+
+// deliver passes the upstream's response on.
+func (o *outgoing) deliver(a attempt) *h1.Response {
+	o.caller.count(resultcode.OK)
+	if a.response.Status >= 500 {
+		o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Str("instance", a.choice.Instance.ID).
+			Int("status", a.response.Status).Dur("latency", a.latency).Int("upstreams", o.reached).Msg("upstream failed the call")
+	}
+	return a.response
+}
+
+// conclude responds to a call that no upstream has answered.
+func (o *outgoing) conclude(failure *resultcode.Error) *h1.Response {
+	if o.answered != nil {
+		return o.deliver(*o.answered)
+	}
+	if o.mayHaveRun != nil && failure.Execution == resultcode.NotRun {
+		failure = o.mayHaveRun
+	}
+	if failure.Code == resultcode.CallerGone && failure.Execution == resultcode.NotRun {
+		failure.Execution = resultcode.Unknown
+	}
+	if failure.Execution == resultcode.NotRun {
+		return o.caller.refuse(o.request, o.info, o.route, failure)
+	}
+	o.caller.count(failure.Code)
+	o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Int("code", int(failure.Code)).
+		Dur("age", time.Since(o.request.Arrived)).Int("upstreams", o.reached).Strs("tried", o.tried).
+		Str("detail", failure.Detail).Msg("call failed")
+	return o.caller.respond(o.info, failure)
+}
--- /dev/null
+++ b/internal/meshnode/node.go
@@ -0,0 +1,241 @@
+// Package meshnode puts together a node that carries calls by routes: the
+// listeners for callers and other nodes, the directory, and what keeps it and the
+// configuration up to date.
+package meshnode
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mustardwing/mustardwing/internal/budget"
+	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/gossip"
+	"github.com/mustardwing/mustardwing/internal/h1"
+	"github.com/mustardwing/mustardwing/internal/mesh"
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/routing"
+	"github.com/mustardwing/mustardwing/internal/settings"
+	"github.com/mustardwing/mustardwing/internal/storesync"
+)
+
+const (
+	// memoryPart is the part of the memory limit that the Go heap may use; the
+	// rest is for buffers of the kernel and stacks.
+	memoryPart = 0.5
+	// gcPercent trades memory, of which there is plenty, for processor time.
+	gcPercent = 200
+	// listWait is how long a node that knows the configuration waits for the
+	// directory before it says that it is ready.
+	listWait = 1500 * time.Millisecond
+	// leaveNotice is how long a node that shuts down still serves, so that
+	// callers and other nodes learn of it.
+	leaveNotice = 2500 * time.Millisecond
+	// drainPart is the part of the drain bound after which calls for an upstream
+	// that leaves are refused.
+	drainPart  = 0.4
+	settlePoll = 20 * time.Millisecond
+)
+
+// Bounds are the operators' bounds.
+type Bounds struct {
+	// Drain is the longest time after its announcement that an upstream that
+	// leaves may get new calls.
+	Drain time.Duration
+	// RepeatRatio and RepeatSlack bound the repeats at a service in any
+	// RepeatWindow.
+	RepeatRatio, RepeatSlack float64
+	RepeatWindow             time.Duration
+}
+
+// Config holds what a Node needs.
+type Config struct {
+	IP, Region, FailureDomain, Service string
+	// CallerAddress takes calls of this machine, PeerAddress those of other nodes.
+	CallerAddress, PeerAddress string
+	Protocol                   mesh.Protocol
+	DecodeRoutes               func([]byte) (*routing.Table, error)
+	Store                      platform.Store
+	Keys                       storesync.Keys
+	Seeds                      []string
+	Bounds                     Bounds
+	MemoryMiB                  int64
+	Log                        zerolog.Logger
+}
+
+// Node is a running node.
+type Node struct {
+	config    Config
+	directory *directory.Directory
+	document  *gossip.Document
+	gossiper  *gossip.Gossiper
+	syncer    *storesync.Syncer
+	instances *mesh.Instances
+	links     *mesh.Links
+	upstream  *mesh.Upstream
+	budget    *budget.Budget
+	callers   *h1.Server
+	peers     *h1.Server
+	listeners []net.Listener
+	started   time.Time
+	leaving   atomic.Bool
+}
+
+// New opens the listeners of a node; Start serves them.
+func New(config Config) (*Node, error) {
+	debug.SetGCPercent(gcPercent)
+	if config.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(config.MemoryMiB<<20)))
+	}
+	n := &Node{config: config, started: time.Now()}
+	n.build(tally.NoopScope)
+	for _, address := range []string{config.CallerAddress, config.PeerAddress} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		n.listeners = append(n.listeners, l)
+	}
+	return n, nil
+}
+
+func (n *Node) build(scope tally.Scope) {
+	c := n.config
+	values := func(string) settings.Values { return settings.Defaults() }
+	n.directory = directory.New(directory.Entry{Node: c.IP, Address: c.PeerAddress, Region: c.Region, FailureDomain: c.FailureDomain}, time.Now)
+	n.document = gossip.NewDocument(c.DecodeRoutes, c.Log)
+	n.links = mesh.NewLinks()
+	n.instances = mesh.NewInstances(c.Region, n.directory, values)
+	n.budget = budget.New(budget.Bounds{Ratio: c.Bounds.RepeatRatio, Slack: c.Bounds.RepeatSlack, Window: c.Bounds.RepeatWindow})
+	n.gossiper = gossip.New(gossip.Config{
+		Directory: n.directory, Document: n.document, Sender: n.links, Seeds: c.Seeds, Log: c.Log, Scope: scope,
+	})
+	n.syncer = storesync.New(storesync.Config{
+		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document, Log: c.Log, Scope: scope,
+	})
+	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
+		Protocol: c.Protocol, DrainLimit: time.Duration(drainPart * float64(c.Bounds.Drain)),
+		Values: values, Lost: n.lostUpstream, Log: c.Log, Scope: scope,
+	})
+	caller := mesh.NewCaller(mesh.CallerConfig{
+		Service: c.Service, IP: c.IP, Protocol: c.Protocol, Routes: n.document.Table,
+		Instances: n.instances, Links: n.links, Budget: n.budget, Log: c.Log, Scope: scope,
+	})
+	n.callers = h1.NewServer(caller, n.limits, c.Log)
+	n.peers = h1.NewServer(h1.HandlerFunc(n.servePeer), func() h1.Limits { return mesh.PeerLimits(n.limits().MaxBodyBytes) }, c.Log)
+	n.directory.OnChange(n.directoryChanged)
+	n.document.OnChange(func(*routing.Table) { n.gossiper.TellConfig() })
+}
+
+func (n *Node) limits() h1.Limits {
+	if table := n.document.Table(); table != nil {
+		return table.Limits
+	}
+	return routing.DefaultLimits()
+}
+
+// Start serves calls and follows the store until ctx ends.
+func (n *Node) Start(ctx context.Context) {
+	for i, server := range []*h1.Server{n.callers, n.peers} {
+		go func() {
+			if err := server.Serve(n.listeners[i]); err != nil {
+				n.config.Log.Error().Err(err).Msg("listener failed")
+			}
+		}()
+	}
+	go n.gossiper.Run(ctx)
+	go n.syncer.Run(ctx)
+}
+
+func (n *Node) servePeer(ctx context.Context, r *h1.Request) *h1.Response {
+	if r.Target == gossip.Path {
+		return n.gossiper.Serve(ctx, r)
+	}
+	return n.upstream.Serve(ctx, r)
+}
+
+// directoryChanged passes news on.
+func (n *Node) directoryChanged(news []directory.Entry) {
+	n.instances.Update(time.Now())
+	peers := n.directory.Peers()
+	n.budget.SetNodes(len(peers) + 1)
+	n.links.Keep(append(peers, n.config.Seeds...))
+	n.gossiper.Tell(news)
+	self := n.directory.Self().Node
+	for _, e := range news {
+		log := n.config.Log.Info().Str("entry", e.Node).Uint64("version", e.Version).Bool("leaving", e.Leaving).Bool("removed", e.Removed)
+		if e.Upstream != nil {
+			log = log.Str("service", e.Upstream.Service).Str("instance", e.Upstream.ID).Str("state", string(e.Upstream.State))
+		}
+		log.Msg("directory entry changed")
+		if e.Node == self {
+			n.syncer.Publish()
+		}
+	}
+}
+
+// Announce takes in what the upstream says about itself and puts it in force
+// here before it returns.
+func (n *Node) Announce(a mesh.Announcement, cold time.Duration) {
+	n.upstream.Announce(time.Now(), a)
+	n.directory.UpdateSelf(func(e *directory.Entry) {
+		state := directory.Ready
+		if a.Draining {
+			state = directory.Draining
+		}
+		next := directory.Upstream{ID: a.ID, Service: a.Service, Slots: a.Slots, State: state}
+		if e.Upstream != nil && e.Upstream.ID == a.ID {
+			next.ColdMs = e.Upstream.ColdMs
+		} else {
+			next.ColdMs = cold.Milliseconds()
+		}
+		e.Upstream = &next
+	})
+}
+
+// lostUpstream announces that the upstream cannot be reached.
+func (n *Node) lostUpstream(id string) {
+	n.directory.UpdateSelf(func(e *directory.Entry) {
+		if e.Upstream != nil && e.Upstream.ID == id {
+			e.Upstream.State = directory.Gone
+		}
+	})
+}
+
+// Ready returns nil when the node can serve calls, and otherwise the reason.
+func (n *Node) Ready() error {
+	switch {
+	case n.leaving.Load():
+		return errors.New("shutting down")
+	case n.document.Table() == nil:
+		return errors.New("no configuration is known yet")
+	case !n.syncer.Listed() && len(n.directory.Peers()) == 0 && time.Since(n.started) < listWait:
+		return errors.New("no other node is known yet")
+	}
+	return nil
+}
+
+// Shutdown stops taking work and returns once what runs has ended, at the
+// latest after limit.
+func (n *Node) Shutdown(limit time.Duration) {
+	end := time.Now().Add(limit)
+	notice := time.Now().Add(min(leaveNotice, limit))
+	n.leaving.Store(true)
+	n.callers.Leave()
+	n.directory.UpdateSelf(func(e *directory.Entry) { e.Leaving = true })
+	for time.Now().Before(end) {
+		if time.Now().After(notice) && n.callers.InFlight() == 0 && n.peers.InFlight() == 0 {
+			break
+		}
+		time.Sleep(settlePoll)
+	}
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,68 @@
+// Package routing holds the operators' routes: which service takes the calls to
+// a host and path, within which bounds.
+package routing
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/h1"
+)
+
+// Cluster is what the operators say about a service.
+type Cluster struct {
+	HealthPath     string
+	MaxConnections int
+}
+
+// Table is one version of the routes. It does not change after New.
+type Table struct {
+	Version  uint64
+	Limits   h1.Limits
+	Clusters map[string]Cluster
+	hosts    map[string][]*Route
+}
+
+// New returns a table of the routes.
+func New(version uint64, limits h1.Limits, clusters map[string]Cluster, routes []*Route) *Table {
+	t := &Table{Version: version, Limits: limits, Clusters: clusters, hosts: make(map[string][]*Route)}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix that begins the target's path,
+// or nil.
+func (t *Table) Match(host, target string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	path, _, _ := strings.Cut(target, "?")
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) || path+"/" == r.Prefix {
+			return r
+		}
+	}
+	return nil
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, list := range t.hosts {
+		n += len(list)
+	}
+	return n
+}
+
+// DefaultLimits bound callers until a table is known.
+func DefaultLimits() h1.Limits {
+	return h1.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+}
--- /dev/null
+++ b/internal/storesync/syncer.go
@@ -0,0 +1,228 @@
+// Package storesync keeps the directory and the configuration of this node in
+// step with the platform's store: it follows both there and writes this node's
+// own entry whenever it changes.
+package storesync
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/gossip"
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+const (
+	// minPause and maxPause bound the wait after a failed call. The longest is
+	// below the two seconds within which a lapsed entry must be back.
+	minPause = 150 * time.Millisecond
+	maxPause = 1200 * time.Millisecond
+	// gatherPause is how long changes of the directory are gathered before the
+	// next watch: every watch is a call, and nodes tell each other news anyway.
+	gatherPause = 250 * time.Millisecond
+	// relistAfter is the number of failed watches in a row after which the whole
+	// list is read again.
+	relistAfter = 4
+)
+
+// Keys names what the syncer follows in the store.
+type Keys struct {
+	// ConfigPrefix holds the operators' configuration, whose key is Config.
+	ConfigPrefix, Config string
+	// NodesPrefix holds one entry for each node.
+	NodesPrefix string
+}
+
+// Config holds what a Syncer needs.
+type Config struct {
+	Store     platform.Store
+	Keys      Keys
+	Directory *directory.Directory
+	Document  *gossip.Document
+	Log       zerolog.Logger
+	Scope     tally.Scope
+}
+
+// Syncer follows the store.
+type Syncer struct {
+	config Config
+	// listed is set once the directory was read from the store.
+	listed  atomic.Bool
+	changed chan struct{}
+	calls   tally.Counter
+	errors  tally.Counter
+}
+
+// New returns a syncer; Run starts it.
+func New(config Config) *Syncer {
+	return &Syncer{
+		config: config, changed: make(chan struct{}, 1),
+		calls: config.Scope.Counter("store_calls"), errors: config.Scope.Counter("store_errors"),
+	}
+}
+
+// Listed reports whether the directory was read from the store since the start.
+func (s *Syncer) Listed() bool {
+	return s.listed.Load()
+}
+
+// Publish writes this node's entry soon.
+func (s *Syncer) Publish() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the store until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	go s.follow(ctx, s.config.Keys.ConfigPrefix, 0, s.takeConfig)
+	go s.follow(ctx, s.config.Keys.NodesPrefix, gatherPause, s.takeNodes)
+	s.publish(ctx)
+}
+
+// follow lists a prefix and watches it from there on.
+func (s *Syncer) follow(ctx context.Context, prefix string, gather time.Duration, take func([]platform.Object)) {
+	link := &dependency{log: s.config.Log, name: prefix}
+	for ctx.Err() == nil {
+		s.calls.Inc(1)
+		listing, err := s.config.Store.List(ctx, prefix)
+		if err != nil {
+			s.errors.Inc(1)
+			link.failed(err)
+			sleep(ctx, link.pause())
+			continue
+		}
+		link.succeeded()
+		take(listing.Objects)
+		s.watch(ctx, prefix, listing.Version, gather, take, link)
+	}
+}
+
+// watch returns when the list has to be read again.
+func (s *Syncer) watch(ctx context.Context, prefix string, version int64, gather time.Duration, take func([]platform.Object), link *dependency) {
+	for failures := 0; failures < relistAfter && ctx.Err() == nil; {
+		s.calls.Inc(1)
+		events, err := s.config.Store.Watch(ctx, prefix, version)
+		if errors.Is(err, platform.ErrCompacted) {
+			return
+		}
+		if err != nil {
+			failures++
+			s.errors.Inc(1)
+			link.failed(err)
+			sleep(ctx, link.pause())
+			continue
+		}
+		failures = 0
+		link.succeeded()
+		version = max(version, events.Version)
+		take(events.Events)
+		if len(events.Events) > 0 && gather > 0 {
+			sleep(ctx, gather)
+		}
+	}
+}
+
+func (s *Syncer) takeConfig(all []platform.Object) {
+	for _, o := range all {
+		if o.Key == s.config.Keys.Config && !o.Deleted {
+			s.config.Document.Offer(o.Value, "store")
+		}
+	}
+}
+
+func (s *Syncer) takeNodes(all []platform.Object) {
+	var entries []directory.Entry
+	self := s.config.Directory.Self().Node
+	for _, o := range all {
+		if o.Deleted {
+			if o.Key == s.key(self) {
+				s.Publish()
+			}
+			continue
+		}
+		var e directory.Entry
+		if err := json.Unmarshal(o.Value, &e); err != nil {
+			s.config.Log.Warn().Err(err).Str("key", o.Key).Msg("entry not readable")
+			continue
+		}
+		entries = append(entries, e)
+	}
+	s.listed.Store(true)
+	s.config.Directory.Merge(entries)
+}
+
+func (s *Syncer) key(node string) string {
+	return s.config.Keys.NodesPrefix + node
+}
+
+// publish writes this node's entry after each change.
+func (s *Syncer) publish(ctx context.Context) {
+	link := &dependency{log: s.config.Log, name: "own entry"}
+	var revision int64
+	written := uint64(0)
+	for {
+		self := s.config.Directory.Self()
+		if self.Upstream == nil || self.Version == written {
+			select {
+			case <-ctx.Done():
+				return
+			case <-s.changed:
+			}
+			continue
+		}
+		next, err := s.write(ctx, self, revision)
+		if next > 0 {
+			revision = next
+		}
+		if err == nil {
+			written = self.Version
+			link.succeeded()
+			continue
+		}
+		if resultcode.From(err).Code == resultcode.ScopeNotFound {
+			revision = 0
+		}
+		if resultcode.From(err).Code != resultcode.SettingsConflict {
+			s.errors.Inc(1)
+			link.failed(err)
+			sleep(ctx, link.pause())
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// write makes one conditional write and returns the revision that is there now.
+func (s *Syncer) write(ctx context.Context, self directory.Entry, revision int64) (int64, error) {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return 0, resultcode.Wrap(err, resultcode.Internal, "own entry")
+	}
+	s.calls.Inc(1)
+	o, err := s.config.Store.Update(ctx, s.key(self.Node), revision, value)
+	if err != nil && resultcode.From(err).Code == resultcode.SettingsConflict {
+		s.takeNodes([]platform.Object{o})
+	}
+	return o.Version, err
+}
+
+// sleep waits for a random part of the pause, at least half.
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause/2 + rand.N(pause/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
