Nested calls inherit from their root; levels of calls refused below

Cause: every call queued by itself, so recovery-entry with ten leaf calls failed more often than cert-lookup with five. A worker's call carries the id of the request it works for as the front of its own id; the node beside the worker finds the run and passes priority and rank on.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -4,6 +4,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -37,11 +38,14 @@
 	services map[string]*allowance
 }
 
-// allowance is a token bucket that first arrivals fill. What it holds at most
-// is this node's part of the slack, which also refills over a window.
+// allowance is a token bucket that first arrivals fill. It saves up at most what
+// half a window earns besides this node's part of the slack, which also refills
+// over a window.
 type allowance struct {
 	tokens float64
 	filled time.Time
+	// recent counts first arrivals and decays over a window.
+	recent float64
 }
 
 // New returns a budget for a fleet of one node.
@@ -69,7 +73,8 @@
 		b.services[service] = a
 	}
 	refill := now.Sub(a.filled).Seconds() / b.bounds.Window.Seconds() * b.capacity() / 2
-	a.tokens += max(0, refill)
+	a.tokens = min(a.tokens+max(0, refill), b.limit(a))
+	a.recent *= math.Exp(-now.Sub(a.filled).Seconds() / b.bounds.Window.Seconds())
 	a.filled = now
 	return a
 }
@@ -79,12 +84,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.get(now, service)
-	a.tokens = min(a.tokens+ratioPart*b.bounds.Ratio, b.limit())
+	a.recent++
+	a.tokens = min(a.tokens+ratioPart*b.bounds.Ratio, b.limit(a))
 }
 
 // limit bounds what is saved up. At least one repeat must fit.
-func (b *Budget) limit() float64 {
-	return max(1, b.capacity()/2)
+func (b *Budget) limit(a *allowance) float64 {
+	return max(1, b.capacity()/2+ratioPart*b.bounds.Ratio*a.recent/2)
+}
+
+// Charge counts a call below a repeat, which is one itself.
+func (b *Budget) Charge(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.get(now, service)
+	a.tokens = max(a.tokens-1, -b.limit(a))
 }
 
 // Take pays for one repeat and reports whether the allowance covered it.
@@ -92,7 +106,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.get(now, service)
-	a.tokens = min(a.tokens, b.limit())
 	if a.tokens < 1 {
 		return false
 	}
--- a/internal/mesh/caller.go
+++ b/internal/mesh/caller.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -28,10 +29,10 @@
 
 // CallerConfig holds what a Caller needs.
 type CallerConfig struct {
-	// Service is the service on this machine, IP the address of its upstream:
-	// calls from there are made by the upstream itself.
-	Service   string
-	IP        string
+	// Service is the service on this machine.
+	Service string
+	// Running holds the runs that calls of the upstream itself belong to.
+	Running   *Running
 	Protocol  Protocol
 	Routes    func() *routing.Table
 	Instances *Instances
@@ -97,12 +98,16 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	_, point := math.Modf(float64(c.turn.Add(1)) * goldenRatio)
-	return &outgoing{
+	o := &outgoing{
 		caller: c, request: r, info: info, route: route,
 		service:  route.Pick(point),
-		nested:   r.RemoteIP == c.config.IP,
+		parent:   c.config.Running.find(info.Parent),
+		priority: route.Priority,
+		rank:     uint32(xxhash.Sum64String(info.ID)),
 		deadline: r.Arrived.Add(timeout),
 	}
+	o.inherit()
+	return o
 }
 
 // refuse responds to a call that was sent to no upstream.
--- a/internal/mesh/hop.go
+++ b/internal/mesh/hop.go
@@ -16,21 +16,27 @@
 const (
 	headerInstance = "Mustardwing-Instance"
 	headerCaller   = "Mustardwing-Caller"
-	// headerNested is set on calls that an upstream makes while it runs another.
-	headerNested = "Mustardwing-Nested"
+	headerRank     = "Mustardwing-Rank"
+	// headerRepeat is set on a repeat and on all calls below one.
+	headerRepeat = "Mustardwing-Repeat"
 	// headerReached says on a failure whether the upstream received the call.
 	headerReached = "Mustardwing-Reached"
 )
 
 // hop is what one node tells the node beside the chosen upstream.
 type hop struct {
-	ID         string
-	Instance   string
-	Kind       string
-	Caller     string
-	Priority   call.Priority
-	Nested     bool
+	ID       string
+	Instance string
+	Kind     string
+	Caller   string
+	// Priority and Rank are those of the root request, so that all hops keep the
+	// same requests.
+	Priority call.Priority
+	Rank     uint32
+	// Depth counts hops from the root request, which is zero.
+	Depth      uint8
 	Idempotent bool
+	Repeat     bool
 	Timeout    time.Duration
 }
 
@@ -41,8 +47,10 @@
 	h[headerCaller] = []string{p.Caller}
 	h[call.HeaderPriority] = []string{p.Priority.String()}
 	h[call.HeaderTimeout] = []string{strconv.FormatInt(p.Timeout.Milliseconds(), 10)}
-	if p.Nested {
-		h[headerNested] = []string{"1"}
+	h[headerRank] = []string{strconv.FormatUint(uint64(p.Rank), 10)}
+	h[call.HeaderDepth] = []string{strconv.Itoa(int(p.Depth))}
+	if p.Repeat {
+		h[headerRepeat] = []string{"1"}
 	}
 	if !p.Idempotent {
 		h[call.HeaderRepeatable] = []string{"no"}
@@ -59,9 +67,18 @@
 	if err != nil {
 		return hop{}, err
 	}
+	rank, err := strconv.ParseUint(h.Get(headerRank), 10, 32)
+	if err != nil {
+		return hop{}, errors.Wrapf(err, "%s: want a number of 32 bits", headerRank)
+	}
+	depth, err := strconv.ParseUint(h.Get(call.HeaderDepth), 10, 8)
+	if err != nil {
+		return hop{}, errors.Wrapf(err, "%s: want a number of 8 bits", call.HeaderDepth)
+	}
 	p := hop{
 		ID: h.Get(call.HeaderRequestID), Instance: h.Get(headerInstance), Kind: h.Get(call.HeaderKind),
-		Caller: h.Get(headerCaller), Priority: priority, Nested: h.Get(headerNested) != "",
+		Caller: h.Get(headerCaller), Priority: priority, Rank: uint32(rank), Depth: uint8(depth),
+		Repeat:     h.Get(headerRepeat) != "",
 		Idempotent: h.Get(call.HeaderRepeatable) == "", Timeout: time.Duration(milliseconds) * time.Millisecond,
 	}
 	call.Strip(h)
@@ -74,8 +91,11 @@
 	Execution resultcode.Execution
 	// Reached is set when the upstream received the call, run or not.
 	Reached bool
-	Load    *admission.Load
-	Detail  string
+	// ShedBelow is set on a failure of the upstream whose cause is that a call
+	// below was refused for want of capacity or time.
+	ShedBelow bool
+	Load      *admission.Load
+	Detail    string
 }
 
 func (v verdict) encode(h http.Header) {
@@ -84,6 +104,9 @@
 	if v.Reached {
 		h[headerReached] = []string{"1"}
 	}
+	if v.ShedBelow {
+		h[call.HeaderShed] = []string{call.ShedBelow}
+	}
 	if v.Load != nil {
 		h[call.HeaderLoad] = []string{v.Load.String()}
 	}
@@ -92,7 +115,7 @@
 // decodeVerdict reads and removes the headers between nodes. A response without
 // them is of unknown outcome.
 func decodeVerdict(h http.Header) verdict {
-	v := verdict{Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != ""}
+	v := verdict{Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != "", ShedBelow: h.Get(call.HeaderShed) != ""}
 	if code, err := strconv.Atoi(h.Get(call.HeaderCode)); err == nil {
 		v.Code = resultcode.Code(code)
 	}
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mustardwing/mustardwing/internal/balancer"
+	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/h1"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 	"github.com/mustardwing/mustardwing/internal/routing"
@@ -18,6 +19,9 @@
 const (
 	// maxMoves bounds the instances that are tried without reaching an upstream.
 	maxMoves = 8
+	// maxShedMoves bounds the further instances that are tried after one without
+	// room: more of them would only spread the overload of the service.
+	maxShedMoves = 2
 	// minRepeatTime is the time that must be left for another attempt.
 	minRepeatTime = 20 * time.Millisecond
 	// retryAfterBase and retryAfterSpread spread the return of refused callers.
@@ -32,12 +36,18 @@
 
 // outgoing is one call on its way to an instance.
 type outgoing struct {
-	caller   *Caller
-	request  *h1.Request
-	info     CallInfo
-	route    *routing.Route
-	service  string
-	nested   bool
+	caller  *Caller
+	request *h1.Request
+	info    CallInfo
+	route   *routing.Route
+	service string
+	// parent is the run of the upstream that made this call, nil for a root.
+	parent   *run
+	priority call.Priority
+	rank     uint32
+	depth    uint8
+	// repeat is set when the whole run below which this call is made is a repeat.
+	repeat   bool
 	deadline time.Time
 
 	// tried lists the instances that were tried.
@@ -45,6 +55,8 @@
 	// reached counts the upstreams that received the call, moves the instances
 	// that did not pass it on.
 	reached, moves int
+	// sheds counts the instances that refused for want of capacity or time.
+	sheds int
 	// mayHaveRun is the first failure after which the call may have run.
 	mayHaveRun *resultcode.Error
 	// answered is an upstream's own failure, which is delivered when no other
@@ -60,9 +72,32 @@
 	latency  time.Duration
 }
 
+// inherit takes over what holds for the whole tree of calls below a root.
+func (o *outgoing) inherit() {
+	p := o.parent
+	if p == nil {
+		return
+	}
+	o.priority, o.rank, o.repeat = p.Priority, p.Rank, p.Repeat
+	o.depth = p.Depth + 1
+	if p.deadline.Before(o.deadline) {
+		o.deadline = p.deadline
+	}
+}
+
 // run tries instances until one has run the call or no further try is allowed.
 func (o *outgoing) run(ctx context.Context) *h1.Response {
-	o.caller.config.Budget.Arrived(time.Now(), o.service)
+	if o.repeat {
+		o.caller.config.Budget.Charge(time.Now(), o.service)
+	} else {
+		o.caller.config.Budget.Arrived(time.Now(), o.service)
+	}
+	if o.parent != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(o.parent.abandoned, cancel)()
+	}
 	for {
 		choice, b, failure := o.pick()
 		if failure != nil {
@@ -95,7 +130,7 @@
 	}
 	p := o.hop()
 	request := balancer.PickRequest{
-		Kind: o.route.Name, Priority: p.level(), Rank: p.rank(),
+		Kind: o.route.Name, Priority: p.Priority, Rank: p.Rank,
 		Exclude: append(avoid, o.tried...), LowestLevel: len(o.tried) > 0,
 	}
 	choice, err := b.Pick(now, request)
@@ -113,8 +148,8 @@
 
 func (o *outgoing) hop() hop {
 	return hop{
-		ID: o.info.ID, Kind: o.route.Name, Caller: o.caller.config.Service, Priority: o.route.Priority,
-		Nested: o.nested, Idempotent: o.route.Idempotent, Timeout: time.Until(o.deadline),
+		ID: o.info.ID, Kind: o.route.Name, Caller: o.caller.config.Service, Priority: o.priority, Rank: o.rank, Depth: o.depth,
+		Idempotent: o.route.Idempotent, Repeat: o.repeat || o.reached > 0, Timeout: time.Until(o.deadline),
 	}
 }
 
@@ -199,8 +234,11 @@
 		return false
 	}
 	if a.verdict.Execution == resultcode.NotRun && !a.verdict.Reached {
+		if a.verdict.Code == resultcode.Overloaded || a.verdict.Code == resultcode.DeadlineInsufficient {
+			o.sheds++
+		}
 		o.caller.moves.Inc(1)
-		return o.moves < maxMoves
+		return o.moves < maxMoves && o.sheds <= maxShedMoves
 	}
 	if a.verdict.Execution != resultcode.NotRun && !o.route.Idempotent {
 		return false
@@ -223,6 +261,9 @@
 
 // deliver passes the upstream's response on.
 func (o *outgoing) deliver(a attempt) *h1.Response {
+	if a.verdict.ShedBelow {
+		o.parent.childShed()
+	}
 	o.caller.count(resultcode.OK)
 	if a.response.Status >= 500 {
 		o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Str("instance", a.choice.Instance.ID).
@@ -236,6 +277,9 @@
 	if o.answered != nil {
 		return o.deliver(*o.answered)
 	}
+	if failure.Code == resultcode.Overloaded || failure.Code == resultcode.DeadlineInsufficient {
+		o.parent.childShed()
+	}
 	if o.mayHaveRun != nil && failure.Execution == resultcode.NotRun {
 		failure = o.mayHaveRun
 	}
--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -11,6 +11,9 @@
 type CallInfo struct {
 	// ID names one attempt of the caller.
 	ID string
+	// Parent is the id of the call for which an upstream may have made this one,
+	// empty when the id names none.
+	Parent string
 	// Timeout is how long the caller waits; zero when it does not say.
 	Timeout time.Duration
 }
--- /dev/null
+++ b/internal/mesh/running.go
@@ -0,0 +1,66 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mustardwing/mustardwing/internal/admission"
+)
+
+// run is a call that the upstream beside this node runs now. Calls that the
+// upstream makes meanwhile inherit from it.
+type run struct {
+	hop
+	deadline time.Time
+	slot     *admission.Slot
+	// abandoned ends when the caller of the run has left.
+	abandoned context.Context
+	// shedBelow is set once a call below was refused for want of capacity or time.
+	shedBelow atomic.Bool
+}
+
+// childShed notes that a call which the upstream made for this run was refused.
+func (r *run) childShed() {
+	if r != nil && !r.shedBelow.Swap(true) {
+		r.slot.ChildShed()
+	}
+}
+
+// Running holds the runs of the upstream beside this node by the id of the call.
+// It is safe for concurrent use.
+type Running struct {
+	mu   sync.Mutex
+	runs map[string]*run
+}
+
+// NewRunning returns an empty table.
+func NewRunning() *Running {
+	return &Running{runs: make(map[string]*run)}
+}
+
+func (t *Running) add(r *run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs[r.ID] = r
+}
+
+// remove deletes r unless another run of the same call has replaced it.
+func (t *Running) remove(r *run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.runs[r.ID] == r {
+		delete(t.runs, r.ID)
+	}
+}
+
+// find returns the run with an id, nil when there is none.
+func (t *Running) find(id string) *run {
+	if id == "" {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -41,6 +41,7 @@
 // UpstreamConfig holds what an Upstream needs.
 type UpstreamConfig struct {
 	Protocol Protocol
+	Running  *Running
 	// DrainLimit is how long calls are still taken for an upstream that drains,
 	// so that callers have time to learn of it.
 	DrainLimit time.Duration
@@ -156,7 +157,7 @@
 		return u.refuse(p, nil, failure)
 	}
 	slot, err := c.admission.Acquire(ctx, admission.Request{
-		Kind: p.Kind, Priority: p.level(), Rank: p.rank(), Depth: p.depth(), Deadline: deadline,
+		Kind: p.Kind, Priority: p.Priority, Rank: p.Rank, Depth: p.Depth, Deadline: deadline,
 	})
 	if err != nil {
 		return u.refuse(p, c, resultcode.From(err))
@@ -166,8 +167,17 @@
 		slot.Release(resultcode.NotRun)
 		return u.refuse(p, c, failure)
 	}
+	active := &run{hop: p, deadline: deadline, slot: slot, abandoned: ctx}
+	u.config.Running.add(active)
 	response, v := u.send(ctx, c, p, r, deadline)
-	slot.Release(v.Execution)
+	u.config.Running.remove(active)
+	if active.shedBelow.Load() && v.Code == resultcode.OK && response.Status >= http.StatusInternalServerError {
+		// The upstream failed the call, so it teaches no service time.
+		v.ShedBelow = true
+		slot.Release(resultcode.Unknown)
+	} else {
+		slot.Release(v.Execution)
+	}
 	return u.report(c, response, v)
 }
 
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -119,12 +119,13 @@
 	n.syncer = storesync.New(storesync.Config{
 		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document, Log: c.Log, Scope: scope,
 	})
+	running := mesh.NewRunning()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
-		Protocol: c.Protocol, DrainLimit: time.Duration(drainPart * float64(c.Bounds.Drain)),
+		Protocol: c.Protocol, Running: running, DrainLimit: time.Duration(drainPart * float64(c.Bounds.Drain)),
 		Values: values, Lost: n.lostUpstream, Log: c.Log, Scope: scope,
 	})
 	caller := mesh.NewCaller(mesh.CallerConfig{
-		Service: c.Service, IP: c.IP, Protocol: c.Protocol, Routes: n.document.Table,
+		Service: c.Service, Running: running, Protocol: c.Protocol, Routes: n.document.Table,
 		Instances: n.instances, Links: n.links, Budget: n.budget, Log: c.Log, Scope: scope,
 	})
 	n.callers = h1.NewServer(caller, n.limits, c.Log)
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -28,6 +28,12 @@
 	// gatherPause is how long changes of the directory are gathered before the
 	// next watch: every watch is a call, and nodes tell each other news anyway.
 	gatherPause = 250 * time.Millisecond
+	// pollEvery is how often the whole fleet reads the configuration besides
+	// watching it, since a watch may hear nothing for seconds before it is cut.
+	// What one node reads the others learn from it, so each reads more rarely the
+	// more nodes there are. It is a fraction of the time in which a configuration
+	// must be in force.
+	pollEvery = 600 * time.Millisecond
 	// relistAfter is the number of failed watches in a row after which the whole
 	// list is read again.
 	relistAfter = 4
@@ -86,9 +92,26 @@
 func (s *Syncer) Run(ctx context.Context) {
 	go s.follow(ctx, s.config.Keys.ConfigPrefix, 0, s.takeConfig)
 	go s.follow(ctx, s.config.Keys.NodesPrefix, gatherPause, s.takeNodes)
+	go s.poll(ctx)
 	s.publish(ctx)
 }
 
+// poll reads the configuration from time to time.
+func (s *Syncer) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		nodes := len(s.config.Directory.Peers()) + 1
+		pause := time.Duration(nodes) * pollEvery
+		sleep(ctx, pause*4/3)
+		s.calls.Inc(1)
+		o, err := s.config.Store.Get(ctx, s.config.Keys.Config)
+		if err != nil {
+			s.errors.Inc(1)
+			continue
+		}
+		s.config.Document.Offer(o.Value, "store")
+	}
+}
+
 // follow lists a prefix and watches it from there on.
 func (s *Syncer) follow(ctx context.Context, prefix string, gather time.Duration, take func([]platform.Object)) {
 	link := &dependency{log: s.config.Log, name: prefix}
