Repeats go to few roots; own failure domain preferred; rejected calls move on

The allowance is now kept for roots of high standing while it is scarce, a call whose upstreams rejected it may reach more than max_attempts of them (none ran it), and a root that failed for a refused call below is not repeated.

--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -184,9 +184,30 @@
 		// Only stragglers admit the call.
 		candidates = c.admitting
 	}
+	if s := c.local(now, candidates); s != nil {
+		return s
+	}
 	return c.twoChoices(now, candidates)
 }
 
+// local returns the cheapest instance of the caller's failure domain that has
+// room, nil when there is none. Bytes between failure domains are paid for.
+func (c *core) local(now time.Time, candidates []*instanceState) *instanceState {
+	if c.config.LocalCost == 0 {
+		return nil
+	}
+	var best *instanceState
+	for _, s := range candidates {
+		if s.FailureDomain != c.config.FailureDomain || s.cost(now) >= c.config.LocalCost {
+			continue
+		}
+		if best == nil || s.cost(now) < best.cost(now) {
+			best = s
+		}
+	}
+	return best
+}
+
 func (c *core) twoChoices(now time.Time, candidates []*instanceState) *instanceState {
 	if len(candidates) == 1 {
 		return candidates[0]
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -10,13 +10,14 @@
 )
 
 const (
-	// ratioPart is the part of the operators' ratio that one hop may use. A
-	// repeated call repeats the calls below it, so the ratios of the hops of a
-	// chain multiply; four hops at this part stay within the whole.
-	ratioPart = 0.22
-	// slackPart is the part of the fixed allowance that one service's callers may
-	// use, for the same reason.
-	slackPart = 0.25
+	// ratioPart is the part of the operators' ratio that is given out. The rest is
+	// for calls below repeats, which count but cannot be held back.
+	ratioPart = 0.6
+	// slackPart is the part of the fixed allowance that is given out.
+	slackPart = 0.5
+	// reservePart is the part of the allowance that calls of the lowest standing
+	// leave. It is below one, so that they get repeats while there are plenty.
+	reservePart = 0.9
 )
 
 // Bounds are the operators' bounds for the repeats at one service.
@@ -101,12 +102,17 @@
 	a.tokens = max(a.tokens-1, -b.limit(a))
 }
 
-// Take pays for one repeat and reports whether the allowance covered it.
-func (b *Budget) Take(now time.Time, service string) bool {
+// Take pays for one repeat and reports whether the allowance covered it. The
+// standing of a call is from 0 to 1. Calls of the highest standing may empty the
+// allowance, others must leave a part that grows as their standing falls. So when
+// repeats are scarce they go to the same few roots, which then complete, instead
+// of a part of the calls of every root, which all fail.
+func (b *Budget) Take(now time.Time, service string, standing float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.get(now, service)
-	if a.tokens < 1 {
+	reserve := (b.limit(a) - 1) * reservePart * (1 - standing)
+	if a.tokens < 1+reserve {
 		return false
 	}
 	a.tokens--
--- a/internal/mesh/hop.go
+++ b/internal/mesh/hop.go
@@ -20,7 +20,8 @@
 	// headerRepeat is set on a repeat and on all calls below one.
 	headerRepeat = "Mustardwing-Repeat"
 	// headerReached says on a failure whether the upstream received the call.
-	headerReached = "Mustardwing-Reached"
+	headerReached      = "Mustardwing-Reached"
+	headerRefusedBelow = "Mustardwing-Refused-Below"
 )
 
 // hop is what one node tells the node beside the chosen upstream.
@@ -92,10 +93,11 @@
 	// Reached is set when the upstream received the call, run or not.
 	Reached bool
 	// ShedBelow is set on a failure of the upstream whose cause is that a call
-	// below was refused for want of capacity or time.
-	ShedBelow bool
-	Load      *admission.Load
-	Detail    string
+	// below was refused for want of capacity or time, RefusedBelow when one was not
+	// run for whatever reason.
+	ShedBelow, RefusedBelow bool
+	Load                    *admission.Load
+	Detail                  string
 }
 
 func (v verdict) encode(h http.Header) {
@@ -107,6 +109,9 @@
 	if v.ShedBelow {
 		h[call.HeaderShed] = []string{call.ShedBelow}
 	}
+	if v.RefusedBelow {
+		h[headerRefusedBelow] = []string{"1"}
+	}
 	if v.Load != nil {
 		h[call.HeaderLoad] = []string{v.Load.String()}
 	}
@@ -115,7 +120,8 @@
 // decodeVerdict reads and removes the headers between nodes. A response without
 // them is of unknown outcome.
 func decodeVerdict(h http.Header) verdict {
-	v := verdict{Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != "", ShedBelow: h.Get(call.HeaderShed) != ""}
+	v := verdict{Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != "", ShedBelow: h.Get(call.HeaderShed) != "",
+		RefusedBelow: h.Get(headerRefusedBelow) != ""}
 	if code, err := strconv.Atoi(h.Get(call.HeaderCode)); err == nil {
 		v.Code = resultcode.Code(code)
 	}
--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -15,12 +15,16 @@
 	// it doubles with each further failure up to maxSuspicion.
 	firstSuspicion = 500 * time.Millisecond
 	maxSuspicion   = 4 * time.Second
+	// localCost is the load in calls per slot up to which an instance of the own
+	// failure domain is preferred. Beyond it upstreams slow down.
+	localCost = 0.6
 )
 
 // Instances chooses among the upstream instances that the directory lists. It is
 // safe for concurrent use.
 type Instances struct {
 	region    string
+	domain    string
 	directory *directory.Directory
 	values    func(service string) settings.Values
 
@@ -36,9 +40,9 @@
 }
 
 // NewInstances returns an empty choice; Update fills it.
-func NewInstances(region string, d *directory.Directory, values func(string) settings.Values) *Instances {
+func NewInstances(region, failureDomain string, d *directory.Directory, values func(string) settings.Values) *Instances {
 	return &Instances{
-		region: region, directory: d, values: values,
+		region: region, domain: failureDomain, directory: d, values: values,
 		balancers: make(map[string]*balancer.Balancer), suspects: make(map[string]suspicion),
 	}
 }
@@ -83,7 +87,7 @@
 	b, ok := s.balancers[service]
 	if !ok {
 		v := s.values(service)
-		config := balancer.Config{Region: s.region, StragglerShare: v.StragglerShare}
+		config := balancer.Config{Region: s.region, FailureDomain: s.domain, LocalCost: localCost, StragglerShare: v.StragglerShare}
 		b = balancer.New(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		s.balancers[service] = b
 	}
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -19,6 +19,9 @@
 const (
 	// maxMoves bounds the instances that are tried without reaching an upstream.
 	maxMoves = 8
+	// maxArrivals bounds the upstreams that receive one call. Those that reject it
+	// do not count as attempts, but as repeats.
+	maxArrivals = 8
 	// maxShedMoves bounds the further instances that are tried after one without
 	// room: more of them would only spread the overload of the service.
 	maxShedMoves = 2
@@ -52,9 +55,9 @@
 
 	// tried lists the instances that were tried.
 	tried []string
-	// reached counts the upstreams that received the call, moves the instances
-	// that did not pass it on.
-	reached, moves int
+	// reached counts the upstreams that received the call, ran those that may have
+	// run it, moves the instances that did not pass it on.
+	reached, ran, moves int
 	// sheds counts the instances that refused for want of capacity or time.
 	sheds int
 	// mayHaveRun is the first failure after which the call may have run.
@@ -134,6 +137,12 @@
 		Exclude: append(avoid, o.tried...), LowestLevel: len(o.tried) > 0,
 	}
 	choice, err := b.Pick(now, request)
+	if err != nil && o.reached > 0 && resultcode.From(err).Code == resultcode.NoInstance {
+		// All instances were tried; one that rejected the call may take it now.
+		o.tried = o.tried[:0]
+		request.Exclude = avoid
+		choice, err = b.Pick(now, request)
+	}
 	if err != nil && len(avoid) > 0 && resultcode.From(err).Code == resultcode.NoInstance {
 		// Only suspects are left; one of them may be back.
 		request.Exclude = o.tried
@@ -180,6 +189,9 @@
 	}
 	if a.verdict.Reached {
 		o.reached++
+		if a.verdict.Execution != resultcode.NotRun {
+			o.ran++
+		}
 	} else {
 		o.moves++
 	}
@@ -223,9 +235,9 @@
 }
 
 // worthRepeat reports whether another instance may succeed where this one's
-// upstream failed.
+// upstream failed. It would meet the same refusals below.
 func (o *outgoing) worthRepeat(a attempt) bool {
-	return o.route.Idempotent && a.response.Status >= 500 && a.response.Status != 504
+	return o.route.Idempotent && a.response.Status >= 500 && a.response.Status != 504 && !a.verdict.RefusedBelow
 }
 
 // mayRepeat decides whether another instance is tried, and pays for it.
@@ -243,16 +255,21 @@
 	if a.verdict.Execution != resultcode.NotRun && !o.route.Idempotent {
 		return false
 	}
-	if o.reached >= max(1, o.route.MaxAttempts) {
+	if o.ran >= max(1, o.route.MaxAttempts) || o.reached >= maxArrivals {
 		return false
 	}
-	if !o.caller.config.Budget.Take(time.Now(), o.service) {
+	if !o.caller.config.Budget.Take(time.Now(), o.service, o.standing()) {
 		return false
 	}
 	o.caller.repeats.Inc(1)
 	return true
 }
 
+// standing places the root of the call from 0, shed first, to 1.
+func (o *outgoing) standing() float64 {
+	return (float64(o.priority) + float64(o.rank)/(1<<32)) / call.PriorityCount
+}
+
 func (o *outgoing) logRepeat(a attempt) {
 	o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Str("instance", a.choice.Instance.ID).
 		Int("code", int(a.verdict.Code)).Str("run", a.verdict.Execution.String()).Dur("latency", a.latency).
@@ -261,6 +278,9 @@
 
 // deliver passes the upstream's response on.
 func (o *outgoing) deliver(a attempt) *h1.Response {
+	if a.verdict.RefusedBelow {
+		o.parent.childRefused()
+	}
 	if a.verdict.ShedBelow {
 		o.parent.childShed()
 	}
@@ -277,6 +297,9 @@
 	if o.answered != nil {
 		return o.deliver(*o.answered)
 	}
+	if failure.Execution == resultcode.NotRun {
+		o.parent.childRefused()
+	}
 	if failure.Code == resultcode.Overloaded || failure.Code == resultcode.DeadlineInsufficient {
 		o.parent.childShed()
 	}
--- a/internal/mesh/running.go
+++ b/internal/mesh/running.go
@@ -19,6 +19,15 @@
 	abandoned context.Context
 	// shedBelow is set once a call below was refused for want of capacity or time.
 	shedBelow atomic.Bool
+	// refusedBelow is set once a call below was not run, for whatever reason.
+	refusedBelow atomic.Bool
+}
+
+// childRefused notes that a call which the upstream made for this run was not run.
+func (r *run) childRefused() {
+	if r != nil {
+		r.refusedBelow.Store(true)
+	}
 }
 
 // childShed notes that a call which the upstream made for this run was refused.
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -171,6 +171,7 @@
 	u.config.Running.add(active)
 	response, v := u.send(ctx, c, p, r, deadline)
 	u.config.Running.remove(active)
+	v.RefusedBelow = active.refusedBelow.Load()
 	if active.shedBelow.Load() && v.Code == resultcode.OK && response.Status >= http.StatusInternalServerError {
 		// The upstream failed the call, so it teaches no service time.
 		v.ShedBelow = true
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -111,7 +111,7 @@
 	n.directory = directory.New(directory.Entry{Node: c.IP, Address: c.PeerAddress, Region: c.Region, FailureDomain: c.FailureDomain}, time.Now)
 	n.document = gossip.NewDocument(c.DecodeRoutes, c.Log)
 	n.links = mesh.NewLinks()
-	n.instances = mesh.NewInstances(c.Region, n.directory, values)
+	n.instances = mesh.NewInstances(c.Region, c.FailureDomain, n.directory, values)
 	n.budget = budget.New(budget.Bounds{Ratio: c.Bounds.RepeatRatio, Slack: c.Bounds.RepeatSlack, Window: c.Bounds.RepeatWindow})
 	n.gossiper = gossip.New(gossip.Config{
 		Directory: n.directory, Document: n.document, Sender: n.links, Seeds: c.Seeds, Log: c.Log, Scope: scope,
