Settings tree in force on the platform; admin address; bounded logs

The tree lives in the store beside the directory and resolves queue, long share and stragglers; mustardwing reaches it with objects://ADDRESS. Metrics, status and members are on the last internal port.

--- a/cmd/mustardwing-node/main.go
+++ b/cmd/mustardwing-node/main.go
@@ -5,15 +5,21 @@
 import (
 	"os"
 
-	"github.com/rs/zerolog"
-
+	"github.com/mustardwing/mustardwing/internal/logging"
 	"github.com/mustardwing/mustardwing/platform"
 )
 
 func main() {
-	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
+	os.Exit(run())
+}
+
+func run() int {
+	writer := logging.NewWriter(os.Stdout)
+	defer writer.Close()
+	log := logging.New(writer)
 	if err := platform.Run(log); err != nil {
 		log.Error().Err(err).Msg("ended")
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
--- a/cmd/mustardwing/main.go
+++ b/cmd/mustardwing/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"os/user"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/mustardwing/mustardwing/internal/client"
 	"github.com/mustardwing/mustardwing/internal/platform"
+	adapter "github.com/mustardwing/mustardwing/platform"
 )
 
 const (
@@ -45,7 +47,13 @@
 	return app.Run(ctx, os.Args[1:])
 }
 
+// objectsScheme begins the URL of a store that speaks the users' platform.
+const objectsScheme = "objects://"
+
 func dial(url string) platform.Store {
+	if address, ok := strings.CutPrefix(url, objectsScheme); ok {
+		return adapter.NewStore(address)
+	}
 	return platform.NewClient(platform.ClientConfig{URL: url, Timeout: callTimeout, Poll: watchPoll})
 }
 
--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -5,7 +5,7 @@
 // Config holds the settings of one service as seen by one node.
 type Config struct {
 	// Region of this node; other regions are used only when it has no instance.
-	Region         string
+	Region string
 	// FailureDomain of this node. Its instances are preferred while their cost is
 	// below LocalCost, in calls per slot; zero prefers none.
 	FailureDomain  string
--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -86,14 +86,26 @@
 func (s *Instances) balancerFor(service string) *balancer.Balancer {
 	b, ok := s.balancers[service]
 	if !ok {
-		v := s.values(service)
-		config := balancer.Config{Region: s.region, FailureDomain: s.domain, LocalCost: localCost, StragglerShare: v.StragglerShare}
-		b = balancer.New(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		b = balancer.New(s.config(service), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		s.balancers[service] = b
 	}
 	return b
 }
 
+func (s *Instances) config(service string) balancer.Config {
+	v := s.values(service)
+	return balancer.Config{Region: s.region, FailureDomain: s.domain, LocalCost: localCost, StragglerShare: v.StragglerShare}
+}
+
+// Reconfigure applies the settings in force.
+func (s *Instances) Reconfigure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, b := range s.balancers {
+		b.Configure(s.config(service))
+	}
+}
+
 // find returns the balancer of a service and the instances to avoid now.
 func (s *Instances) find(now time.Time, service string) (*balancer.Balancer, []string) {
 	s.mu.Lock()
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -117,6 +117,15 @@
 	return admission.Config{Slots: a.Slots, QueuePerSlot: v.QueuePerSlot, QueueTimeout: v.QueueTimeout, LongShare: v.LongShare}
 }
 
+// Reconfigure applies the settings in force.
+func (u *Upstream) Reconfigure() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.current != nil {
+		u.current.admission.Configure(u.admissionConfig(u.current.Announcement))
+	}
+}
+
 // Current returns what the upstream last said, and false before it said anything.
 func (u *Upstream) Current() (Announcement, bool) {
 	u.mu.Lock()
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -14,11 +15,13 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/mustardwing/mustardwing/internal/admin"
 	"github.com/mustardwing/mustardwing/internal/budget"
 	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/gossip"
 	"github.com/mustardwing/mustardwing/internal/h1"
 	"github.com/mustardwing/mustardwing/internal/mesh"
+	"github.com/mustardwing/mustardwing/internal/metrics"
 	"github.com/mustardwing/mustardwing/internal/platform"
 	"github.com/mustardwing/mustardwing/internal/routing"
 	"github.com/mustardwing/mustardwing/internal/settings"
@@ -41,6 +44,8 @@
 	// that leaves are refused.
 	drainPart  = 0.4
 	settlePoll = 20 * time.Millisecond
+	// adminHeaderTimeout bounds the header of a request of an operator.
+	adminHeaderTimeout = 5 * time.Second
 )
 
 // Bounds are the operators' bounds.
@@ -59,14 +64,16 @@
 	IP, Region, FailureDomain, Service string
 	// CallerAddress takes calls of this machine, PeerAddress those of other nodes.
 	CallerAddress, PeerAddress string
-	Protocol                   mesh.Protocol
-	DecodeRoutes               func([]byte) (*routing.Table, error)
-	Store                      platform.Store
-	Keys                       storesync.Keys
-	Seeds                      []string
-	Bounds                     Bounds
-	MemoryMiB                  int64
-	Log                        zerolog.Logger
+	// AdminAddress serves health, metrics, status and members.
+	AdminAddress string
+	Protocol     mesh.Protocol
+	DecodeRoutes func([]byte) (*routing.Table, error)
+	Store        platform.Store
+	Keys         storesync.Keys
+	Seeds        []string
+	Bounds       Bounds
+	MemoryMiB    int64
+	Log          zerolog.Logger
 }
 
 // Node is a running node.
@@ -74,6 +81,7 @@
 	config    Config
 	directory *directory.Directory
 	document  *gossip.Document
+	settings  *settings.Holder
 	gossiper  *gossip.Gossiper
 	syncer    *storesync.Syncer
 	instances *mesh.Instances
@@ -93,8 +101,12 @@
 	if config.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(config.MemoryMiB<<20)))
 	}
-	n := &Node{config: config, started: time.Now()}
-	n.build(tally.NoopScope)
+	n := &Node{config: config, started: time.Now(), settings: settings.NewHolder()}
+	scope, handler, _ := metrics.New()
+	n.build(scope)
+	if err := n.serveAdmin(handler); err != nil {
+		return nil, err
+	}
 	for _, address := range []string{config.CallerAddress, config.PeerAddress} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -107,7 +119,9 @@
 
 func (n *Node) build(scope tally.Scope) {
 	c := n.config
-	values := func(string) settings.Values { return settings.Defaults() }
+	values := func(service string) settings.Values {
+		return n.settings.Tree().Resolve(settings.Path{Region: c.Region, Service: service})
+	}
 	n.directory = directory.New(directory.Entry{Node: c.IP, Address: c.PeerAddress, Region: c.Region, FailureDomain: c.FailureDomain}, time.Now)
 	n.document = gossip.NewDocument(c.DecodeRoutes, c.Log)
 	n.links = mesh.NewLinks()
@@ -117,7 +131,8 @@
 		Directory: n.directory, Document: n.document, Sender: n.links, Seeds: c.Seeds, Log: c.Log, Scope: scope,
 	})
 	n.syncer = storesync.New(storesync.Config{
-		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document, Log: c.Log, Scope: scope,
+		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document,
+		Settings: n.settings, SettingsChanged: n.settingsChanged, Log: c.Log, Scope: scope,
 	})
 	running := mesh.NewRunning()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
@@ -161,6 +176,54 @@
 	return n.upstream.Serve(ctx, r)
 }
 
+// settingsChanged puts the settings tree in force where it is used.
+func (n *Node) settingsChanged() {
+	n.instances.Reconfigure()
+	n.upstream.Reconfigure()
+}
+
+// serveAdmin serves the address for operators.
+func (n *Node) serveAdmin(handler http.Handler) error {
+	if n.config.AdminAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", n.config.AdminAddress)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", n.config.AdminAddress)
+	}
+	server := &http.Server{
+		Handler: admin.NewHandler(admin.Config{
+			Ready: n.Ready, Metrics: handler, Status: n.status,
+			Members: func() any { return n.directory.All() },
+		}),
+		ReadHeaderTimeout: adminHeaderTimeout,
+	}
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// nodeStatus is what the admin address tells of this node.
+type nodeStatus struct {
+	Self             directory.Entry `json:"self"`
+	ConfigVersion    uint64          `json:"config_version"`
+	SettingsRevision int64           `json:"settings_revision"`
+	Nodes            int             `json:"nodes"`
+	CallsInFlight    int64           `json:"calls_in_flight"`
+	UpstreamInFlight int64           `json:"upstream_in_flight"`
+	Ready            string          `json:"ready"`
+}
+
+func (n *Node) status() any {
+	s := nodeStatus{
+		Self: n.directory.Self(), ConfigVersion: n.document.Version(), SettingsRevision: n.settings.Revision(),
+		Nodes: len(n.directory.Peers()) + 1, CallsInFlight: n.callers.InFlight(), UpstreamInFlight: n.peers.InFlight(), Ready: "yes",
+	}
+	if err := n.Ready(); err != nil {
+		s.Ready = err.Error()
+	}
+	return s
+}
+
 // directoryChanged passes news on.
 func (n *Node) directoryChanged(news []directory.Entry) {
 	n.instances.Update(time.Now())
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -18,6 +18,7 @@
 	"github.com/mustardwing/mustardwing/internal/gossip"
 	"github.com/mustardwing/mustardwing/internal/platform"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/settings"
 )
 
 const (
@@ -45,6 +46,8 @@
 	ConfigPrefix, Config string
 	// NodesPrefix holds one entry for each node.
 	NodesPrefix string
+	// SettingsPrefix holds the settings tree.
+	SettingsPrefix string
 }
 
 // Config holds what a Syncer needs.
@@ -53,8 +56,11 @@
 	Keys      Keys
 	Directory *directory.Directory
 	Document  *gossip.Document
-	Log       zerolog.Logger
-	Scope     tally.Scope
+	Settings  *settings.Holder
+	// SettingsChanged is called after the settings tree has changed.
+	SettingsChanged func()
+	Log             zerolog.Logger
+	Scope           tally.Scope
 }
 
 // Syncer follows the store.
@@ -92,6 +98,7 @@
 func (s *Syncer) Run(ctx context.Context) {
 	go s.follow(ctx, s.config.Keys.ConfigPrefix, 0, s.takeConfig)
 	go s.follow(ctx, s.config.Keys.NodesPrefix, gatherPause, s.takeNodes)
+	go s.follow(ctx, s.config.Keys.SettingsPrefix, gatherPause, s.takeSettings)
 	go s.poll(ctx)
 	s.publish(ctx)
 }
@@ -113,7 +120,7 @@
 }
 
 // follow lists a prefix and watches it from there on.
-func (s *Syncer) follow(ctx context.Context, prefix string, gather time.Duration, take func([]platform.Object)) {
+func (s *Syncer) follow(ctx context.Context, prefix string, gather time.Duration, take func(change)) {
 	link := &dependency{log: s.config.Log, name: prefix}
 	for ctx.Err() == nil {
 		s.calls.Inc(1)
@@ -125,13 +132,13 @@
 			continue
 		}
 		link.succeeded()
-		take(listing.Objects)
+		take(change{version: listing.Version, objects: listing.Objects, whole: true})
 		s.watch(ctx, prefix, listing.Version, gather, take, link)
 	}
 }
 
 // watch returns when the list has to be read again.
-func (s *Syncer) watch(ctx context.Context, prefix string, version int64, gather time.Duration, take func([]platform.Object), link *dependency) {
+func (s *Syncer) watch(ctx context.Context, prefix string, version int64, gather time.Duration, take func(change), link *dependency) {
 	for failures := 0; failures < relistAfter && ctx.Err() == nil; {
 		s.calls.Inc(1)
 		events, err := s.config.Store.Watch(ctx, prefix, version)
@@ -148,25 +155,25 @@
 		failures = 0
 		link.succeeded()
 		version = max(version, events.Version)
-		take(events.Events)
+		take(change{version: version, objects: events.Events})
 		if len(events.Events) > 0 && gather > 0 {
 			sleep(ctx, gather)
 		}
 	}
 }
 
-func (s *Syncer) takeConfig(all []platform.Object) {
-	for _, o := range all {
+func (s *Syncer) takeConfig(c change) {
+	for _, o := range c.objects {
 		if o.Key == s.config.Keys.Config && !o.Deleted {
 			s.config.Document.Offer(o.Value, "store")
 		}
 	}
 }
 
-func (s *Syncer) takeNodes(all []platform.Object) {
+func (s *Syncer) takeNodes(c change) {
 	var entries []directory.Entry
 	self := s.config.Directory.Self().Node
-	for _, o := range all {
+	for _, o := range c.objects {
 		if o.Deleted {
 			if o.Key == s.key(self) {
 				s.Publish()
@@ -184,6 +191,31 @@
 	s.config.Directory.Merge(entries)
 }
 
+// takeSettings puts the settings tree in force. A scope that is not valid is
+// refused on its own and stays as it was.
+func (s *Syncer) takeSettings(c change) {
+	if len(c.objects) == 0 {
+		return
+	}
+	changes := make([]settings.Object, 0, len(c.objects))
+	for _, o := range c.objects {
+		value := o.Value
+		if o.Deleted {
+			value = nil
+		}
+		changes = append(changes, settings.Object{Key: o.Key, Revision: o.Version, Value: value})
+	}
+	apply := s.config.Settings.Apply
+	if c.whole {
+		apply = s.config.Settings.ApplySnapshot
+	}
+	if err := apply(c.version, changes); err != nil {
+		s.config.Log.Warn().Err(err).Int64("revision", c.version).Msg("settings refused")
+	}
+	s.config.Log.Info().Int64("revision", s.config.Settings.Revision()).Int("scopes", len(changes)).Msg("settings in force")
+	s.config.SettingsChanged()
+}
+
 func (s *Syncer) key(node string) string {
 	return s.config.Keys.NodesPrefix + node
 }
@@ -235,7 +267,7 @@
 	s.calls.Inc(1)
 	o, err := s.config.Store.Update(ctx, s.key(self.Node), revision, value)
 	if err != nil && resultcode.From(err).Code == resultcode.SettingsConflict {
-		s.takeNodes([]platform.Object{o})
+		s.takeNodes(change{objects: []platform.Object{o}})
 	}
 	return o.Version, err
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,17 +5,14 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"go.opentelemetry.io/otel/trace"
-)
 
-// reportInterval is how often tally passes counters to the Prometheus registry.
-const reportInterval = time.Second
+	"github.com/mustardwing/mustardwing/internal/metrics"
+)
 
 // Config says where telemetry goes.
 type Config struct {
@@ -56,17 +53,9 @@
 }
 
 func (t *Telemetry) startMetrics() {
-	reporter := prometheus.NewReporter(prometheus.Options{DefaultTimerType: prometheus.HistogramTimerType})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "mustardwing",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
-		// Prometheus refuses the dots in tally's own names.
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, reportInterval)
+	scope, handler, closer := metrics.New()
 	t.Metrics = scope
-	t.MetricsHandler = reporter.HTTPHandler()
+	t.MetricsHandler = handler
 	t.closers = append(t.closers, func(context.Context) error { return closer.Close() })
 }
 
