--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -58,6 +58,14 @@
 	return b.core.hedgeDelay(now, kind)
 }
 
+// Busy reports whether an instance is shedding calls or has more of them than
+// slots, as far as this node knows.
+func (b *Balancer) Busy(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.core.busy(now)
+}
+
 // Ready returns the number of instances that are ready for calls and not in
 // exclude. It is what the retry decision needs as the number of untried instances.
 func (b *Balancer) Ready(exclude []string) int {
--- a/internal/balancer/hedges.go
+++ b/internal/balancer/hedges.go
@@ -34,6 +34,16 @@
 	return true
 }
 
+// busy reports whether an instance sheds calls or has no free slot.
+func (c *core) busy(now time.Time) bool {
+	for _, s := range c.scope {
+		if s.knownLevel(now) != (admission.Level{}) || s.queueing(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // hedgeDelay returns when a call of this kind may be hedged. While an instance
 // sheds calls, a hedge would only add to its load.
 func (c *core) hedgeDelay(now time.Time, kind string) (time.Duration, bool) {
--- a/internal/mesh/caller.go
+++ b/internal/mesh/caller.go
@@ -50,6 +50,7 @@
 	calls   tally.Counter
 	repeats tally.Counter
 	moves   tally.Counter
+	hedges  tally.Counter
 	latency tally.Histogram
 	results map[resultcode.Code]tally.Counter
 }
@@ -61,6 +62,7 @@
 		calls:   config.Scope.Counter("calls"),
 		repeats: config.Scope.Counter("call_repeats"),
 		moves:   config.Scope.Counter("call_moves"),
+		hedges:  config.Scope.Counter("call_hedges"),
 		latency: config.Scope.Histogram("call_latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 		results: make(map[resultcode.Code]tally.Counter),
 	}
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -101,13 +101,18 @@
 		defer cancel()
 		defer context.AfterFunc(o.parent.abandoned, cancel)()
 	}
+	// last is the failure of the try before, which says more than that no instance
+	// is left.
+	var last *resultcode.Error
 	for {
 		choice, b, failure := o.pick()
 		if failure != nil {
+			if last != nil {
+				failure = last
+			}
 			return o.conclude(failure)
 		}
-		a := o.send(ctx, choice)
-		b.Done(time.Now(), choice, a.feedback())
+		a := o.send(ctx, b, choice)
 		if a.verdict.Code == resultcode.OK {
 			if !o.worthRepeat(a) {
 				return o.deliver(a)
@@ -117,8 +122,9 @@
 		if ctx.Err() != nil {
 			return o.conclude(resultcode.New(resultcode.CallerGone, "the caller left"))
 		}
+		last = a.failure()
 		if !o.mayRepeat(a) {
-			return o.conclude(a.failure())
+			return o.conclude(last)
 		}
 		o.logRepeat(a)
 	}
@@ -162,11 +168,21 @@
 	}
 }
 
-// send makes one try.
-func (o *outgoing) send(ctx context.Context, choice balancer.Choice) attempt {
+// send makes a try, or two side by side when the first takes long.
+func (o *outgoing) send(ctx context.Context, b *balancer.Balancer, choice balancer.Choice) attempt {
+	if delay, ok := o.hedgeDelay(); ok {
+		return o.sendHedged(ctx, b, choice, delay)
+	}
+	a := o.try(ctx, choice, o.hop())
+	b.Done(time.Now(), choice, a.feedback())
+	o.note(a)
+	return a
+}
+
+// try sends the call to one instance.
+func (o *outgoing) try(ctx context.Context, choice balancer.Choice, p hop) attempt {
 	started := time.Now()
 	a := attempt{choice: choice}
-	p := o.hop()
 	p.Instance = choice.Instance.ID
 	if p.Timeout < time.Millisecond {
 		a.verdict = verdict{Code: resultcode.DeadlineInsufficient, Execution: resultcode.NotRun, Detail: "no time is left"}
@@ -187,6 +203,11 @@
 			o.caller.config.Instances.suspect(time.Now(), choice.Instance.ID)
 		}
 	}
+	return a
+}
+
+// note counts a try.
+func (o *outgoing) note(a attempt) {
 	if a.verdict.Reached {
 		o.reached++
 		if a.verdict.Execution != resultcode.NotRun {
@@ -198,7 +219,6 @@
 	if a.verdict.Execution != resultcode.NotRun && a.verdict.Code != resultcode.OK && o.mayHaveRun == nil {
 		o.mayHaveRun = a.failure()
 	}
-	return a
 }
 
 // broken interprets an exchange with another node that gave no response.
