--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// onceIdleLimit is the longest time that a connection may have been unused for a
+// request that must not be sent twice. It is below the shortest idle time-out that
+// upstreams are known to have.
+const onceIdleLimit = time.Second
+
 // PoolConfig configures a Pool.
 type PoolConfig struct {
 	Address string
@@ -45,7 +50,7 @@
 // Do sends a request and returns its response. A failure is a *SendError. The
 // deadline bounds the whole exchange.
 func (p *Pool) Do(ctx context.Context, r *Request, deadline time.Time) (*Response, error) {
-	c, err := p.get(ctx, deadline)
+	c, err := p.get(ctx, deadline, r.Once)
 	if err != nil {
 		return nil, &SendError{Sent: false, Cause: err}
 	}
@@ -58,10 +63,10 @@
 	return response, nil
 }
 
-// get returns the connection used last that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, deadline time.Time) (*clientConn, error) {
+// get returns an idle connection that is still usable, or a new one.
+func (p *Pool) get(ctx context.Context, deadline time.Time, once bool) (*clientConn, error) {
 	for {
-		c := p.takeIdle()
+		c := p.takeIdle(once)
 		if c == nil {
 			return p.dial(ctx, deadline)
 		}
@@ -72,13 +77,24 @@
 	}
 }
 
-func (p *Pool) takeIdle() *clientConn {
+// takeIdle returns the connection unused longest, so that all are used before
+// the other end closes them. For a request that must not be sent twice it returns
+// the one used last, if that was just now.
+func (p *Pool) takeIdle(once bool) *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) == 0 {
 		return nil
 	}
+	if !once {
+		c := p.idle[0]
+		p.idle = p.idle[1:]
+		return c
+	}
 	c := p.idle[len(p.idle)-1]
+	if time.Since(c.idleSince) > onceIdleLimit {
+		return nil
+	}
 	p.idle = p.idle[:len(p.idle)-1]
 	return c
 }
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -190,6 +190,7 @@
 	}
 	r := *o.request
 	r.Header = maps.Clone(o.request.Header)
+	r.Once = !o.route.Idempotent
 	p.encode(r.Header)
 	response, err := o.caller.config.Links.Exchange(ctx, choice.Instance.PeerAddress, &r, o.deadline)
 	a.latency = time.Since(started)
