--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,128 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/h1"
+	"github.com/mustardwing/mustardwing/internal/routing"
+)
+
+// network connects gossipers without sockets. Cut addresses reach nobody.
+type network struct {
+	nodes map[string]*Gossiper
+	cut   map[string]bool
+}
+
+// port is the network as one node sees it.
+type port struct {
+	network *network
+	address string
+}
+
+func (p port) Exchange(ctx context.Context, address string, r *h1.Request, _ time.Time) (*h1.Response, error) {
+	target, ok := p.network.nodes[address]
+	if !ok || p.network.cut[address] || p.network.cut[p.address] {
+		return nil, &h1.SendError{Cause: errors.New("unreachable")}
+	}
+	return target.Serve(ctx, r), nil
+}
+
+// decodeNumber is a configuration whose text is its version.
+func decodeNumber(raw []byte) (*routing.Table, error) {
+	version, err := strconv.ParseUint(string(raw), 10, 64)
+	if err != nil || version == 0 {
+		return nil, errors.Errorf("version %q: want a number above zero", raw)
+	}
+	return routing.New(version, routing.DefaultLimits(), nil, nil), nil
+}
+
+func startFleet(ctx context.Context, n int) (*network, []*Gossiper) {
+	net := &network{nodes: map[string]*Gossiper{}, cut: map[string]bool{}}
+	var fleet []*Gossiper
+	for i := range n {
+		address := fmt.Sprint("node-", i)
+		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
+		g := New(Config{
+			Directory: d, Document: NewDocument(decodeNumber, zerolog.Nop()), Sender: port{net, address},
+			Seeds: []string{"node-0"}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		})
+		d.OnChange(g.Tell)
+		g.config.Document.OnChange(func(*routing.Table) { g.TellConfig() })
+		net.nodes[address] = g
+		fleet = append(fleet, g)
+		go g.Run(ctx)
+	}
+	return net, fleet
+}
+
+// Guards against nodes that never learn what only others were told: without the
+// store, a configuration and an entry reach all nodes that are connected, also
+// those that start with one seed and those that were cut off for a while.
+func TestNewsReachAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		net, fleet := startFleet(ctx, 30)
+		time.Sleep(10 * time.Second)
+		for i, g := range fleet {
+			assert.Equal(t, len(g.config.Directory.All()), 30, "node %d", i)
+		}
+		net.cut["node-7"] = true
+		assert.Assert(t, fleet[3].config.Document.Offer([]byte("5"), "test"))
+		fleet[4].config.Directory.UpdateSelf(func(e *directory.Entry) {
+			e.Upstream = &directory.Upstream{ID: "i", Service: "s", State: directory.Draining}
+		})
+		time.Sleep(2 * time.Second)
+		for i, g := range fleet {
+			if i == 7 {
+				assert.Equal(t, g.config.Document.Version(), uint64(0))
+				continue
+			}
+			assert.Equal(t, g.config.Document.Version(), uint64(5), "node %d", i)
+			e, _ := g.config.Directory.Get("node-4")
+			assert.Assert(t, e.Upstream != nil, "node %d", i)
+		}
+		delete(net.cut, "node-7")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, fleet[7].config.Document.Version(), uint64(5))
+	})
+}
+
+// Guards against a configuration that goes back, and against one that cannot be
+// read and replaces the one in force.
+func TestDocumentVersionOnlyRises(t *testing.T) {
+	d := NewDocument(decodeNumber, zerolog.Nop())
+	assert.Assert(t, d.Table() == nil)
+	assert.Assert(t, d.Offer([]byte("7"), "test"))
+	assert.Assert(t, !d.Offer([]byte("6"), "test"))
+	assert.Assert(t, !d.Offer([]byte("7"), "test"))
+	assert.Assert(t, !d.Offer([]byte("nonsense"), "test"))
+	assert.Equal(t, d.Version(), uint64(7))
+	assert.Equal(t, string(d.Raw()), "7")
+}
+
+// Guards against a panic on a message that no node sent.
+func FuzzServe(f *testing.F) {
+	f.Add([]byte(`{"config_version":1,"digest":2,"entries":[{"node":"a","address":"b"}],"config":9}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		d := directory.New(directory.Entry{Node: "self", Address: "self"}, time.Now)
+		g := New(Config{Directory: d, Document: NewDocument(decodeNumber, zerolog.Nop()), Log: zerolog.Nop(), Scope: tally.NoopScope})
+		response := g.Serve(context.Background(), &h1.Request{Body: body})
+		if response.Status == 200 {
+			var m message
+			assert.NilError(t, json.Unmarshal(response.Body, &m))
+		}
+	})
+}
--- /dev/null
+++ b/internal/mesh/harness_test.go
@@ -0,0 +1,149 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/budget"
+	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/h1"
+	"github.com/mustardwing/mustardwing/internal/routing"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+// testProtocol is a Protocol with headers of its own.
+type testProtocol struct{}
+
+func (testProtocol) DecodeCall(h http.Header) CallInfo {
+	ms, _ := strconv.Atoi(h.Get("Test-Ms"))
+	info := CallInfo{ID: h.Get("Test-Id"), Timeout: time.Duration(ms) * time.Millisecond}
+	if i := strings.LastIndexByte(info.ID, '.'); i > 0 {
+		info.Parent = info.ID[:i]
+	}
+	return info
+}
+
+func (testProtocol) EncodeCall(h http.Header, _ string, info UpstreamInfo) {
+	h.Set("Test-Ms", strconv.FormatInt(info.Timeout.Milliseconds(), 10))
+	h.Set("Test-Instance", info.Instance)
+	h.Set("Test-Caller", info.Caller)
+}
+
+func (testProtocol) DecodeVerdict(r *h1.Response) UpstreamVerdict {
+	return UpstreamVerdict{
+		NotRun: r.Header.Get("Test-Not-Run") != "", OtherInstance: r.Status == http.StatusMisdirectedRequest,
+		Vouched: r.Header.Get("Test-Mark") != "",
+	}
+}
+
+func (testProtocol) SameCall(request *h1.Request, response *h1.Response) bool {
+	return request.Header.Get("Test-Id") == response.Header.Get("Test-Id")
+}
+
+func (testProtocol) SetID(h http.Header, id string) { h.Set("Test-Id", id) }
+
+// worker is an upstream under test.
+type worker struct {
+	id      string
+	runs    atomic.Int64
+	handler func(ctx context.Context, r *h1.Request) *h1.Response
+}
+
+// ran is the response of a worker that has run a call.
+func ran(r *h1.Request, status int, body string) *h1.Response {
+	return &h1.Response{Status: status, Body: []byte(body), Header: http.Header{"Test-Id": r.Header["Test-Id"], "Test-Mark": {"m"}}}
+}
+
+// rejected is the response of a worker that has not run a call.
+func rejected(r *h1.Request) *h1.Response {
+	return &h1.Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Test-Id": r.Header["Test-Id"], "Test-Not-Run": {"1"}}}
+}
+
+// cluster has one caller node and a node beside each worker.
+type cluster struct {
+	t         *testing.T
+	caller    *Caller
+	directory *directory.Directory
+	instances *Instances
+	upstreams map[string]*Upstream
+	routes    []*routing.Route
+	table     *routing.Table
+}
+
+func serve(t *testing.T, handler h1.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := h1.NewServer(handler, func() h1.Limits { return PeerLimits(1 << 20) }, zerolog.Nop())
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.Close()
+	})
+	return l.Addr().String()
+}
+
+// newCluster starts workers of the service "s" behind the route /r/.
+func newCluster(t *testing.T, route routing.Route, workers ...*worker) *cluster {
+	t.Helper()
+	route.Name, route.Host, route.Prefix = "kind", "h", "/r/"
+	route.Targets = []routing.Target{{Service: "s", Weight: 1}}
+	c := &cluster{t: t, upstreams: map[string]*Upstream{}, table: routing.New(1, routing.DefaultLimits(), nil, []*routing.Route{&route})}
+	c.directory = directory.New(directory.Entry{Node: "self", Address: "self"}, time.Now)
+	values := func(string) settings.Values { return settings.Defaults() }
+	c.instances = NewInstances("region", "domain", c.directory, values)
+	running := NewRunning()
+	for i, w := range workers {
+		w.id = fmt.Sprint("i-", i)
+		address := serve(t, h1.HandlerFunc(func(ctx context.Context, r *h1.Request) *h1.Response {
+			w.runs.Add(1)
+			return w.handler(ctx, r)
+		}))
+		u := NewUpstream(UpstreamConfig{
+			Protocol: testProtocol{}, Running: running, DrainLimit: 50 * time.Millisecond, Values: values,
+			Lost: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		})
+		u.Announce(time.Now(), Announcement{ID: w.id, Service: "s", Address: address, Slots: 4})
+		c.upstreams[w.id] = u
+		peer := serve(t, u)
+		c.directory.Merge([]directory.Entry{{
+			Node: w.id, Version: 1, Address: peer, Region: "region", FailureDomain: "domain",
+			Upstream: &directory.Upstream{ID: w.id, Service: "s", Slots: 4, State: directory.Ready},
+		}})
+	}
+	c.instances.Update(time.Now())
+	c.caller = NewCaller(CallerConfig{
+		Service: "caller", Running: running, Protocol: testProtocol{}, Routes: func() *routing.Table { return c.table },
+		Instances: c.instances, Links: NewLinks(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+		Budget: budget.New(budget.Bounds{Ratio: 1, Slack: 100, Window: time.Second}),
+	})
+	return c
+}
+
+// call makes a call from outside and returns the response.
+func (c *cluster) call(ctx context.Context, id string) *h1.Response {
+	return c.caller.Serve(ctx, &h1.Request{
+		Method: http.MethodPost, Target: "/r/x", Host: "h", Arrived: time.Now(), RemoteIP: "127.0.0.1",
+		Header: http.Header{"Test-Id": {id}, "Test-Ms": {"2000"}, "Test-Caller": {"forged"}},
+	})
+}
+
+func idempotent() routing.Route {
+	return routing.Route{Idempotent: true, Priority: call.Normal, MaxAttempts: 2, Timeout: time.Second}
+}
+
+func once() routing.Route {
+	return routing.Route{Priority: call.Critical, MaxAttempts: 2, Timeout: time.Second}
+}
--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -48,6 +48,4 @@
 	SameCall(request *h1.Request, response *h1.Response) bool
 	// SetID names the call on a response of this node's own.
 	SetID(h http.Header, id string)
-	// ResponseInstance returns the instance that answered a health check.
-	ResponseInstance(h http.Header) string
 }
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -67,7 +67,9 @@
 type Syncer struct {
 	config Config
 	// listed is set once the directory was read from the store.
-	listed  atomic.Bool
+	listed atomic.Bool
+	// removed is set when this node's entry is no longer in the store.
+	removed atomic.Bool
 	changed chan struct{}
 	calls   tally.Counter
 	errors  tally.Counter
@@ -178,6 +180,7 @@
 	for _, o := range c.objects {
 		if o.Deleted {
 			if o.Key == s.key(self) {
+				s.removed.Store(true)
 				s.Publish()
 			}
 			continue
@@ -229,6 +232,9 @@
 	written := uint64(0)
 	for {
 		self := s.config.Directory.Self()
+		if s.removed.Swap(false) {
+			revision, written = 0, 0
+		}
 		if self.Upstream == nil || self.Version == written {
 			select {
 			case <-ctx.Done():
--- /dev/null
+++ b/internal/storesync/syncer_test.go
@@ -0,0 +1,220 @@
+package storesync
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/gossip"
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
+	"github.com/mustardwing/mustardwing/internal/routing"
+	"github.com/mustardwing/mustardwing/internal/settings"
+)
+
+// node is a syncer with what it keeps in step.
+type node struct {
+	*Syncer
+	changes int
+}
+
+func testKeys() Keys {
+	return Keys{ConfigPrefix: "config/", Config: "config/main", NodesPrefix: "nodes/", SettingsPrefix: "settings/"}
+}
+
+func decodeNumber(raw []byte) (*routing.Table, error) {
+	version, err := strconv.ParseUint(string(raw), 10, 64)
+	if err != nil || version == 0 {
+		return nil, errors.Errorf("version %q: want a number above zero", raw)
+	}
+	return routing.New(version, routing.DefaultLimits(), nil, nil), nil
+}
+
+func startNode(ctx context.Context, name string, store platform.Store) *node {
+	n := &node{}
+	d := directory.New(directory.Entry{Node: name, Address: name}, time.Now)
+	n.Syncer = New(Config{
+		Store: store, Keys: testKeys(), Directory: d, Document: gossip.NewDocument(decodeNumber, zerolog.Nop()),
+		Settings: settings.NewHolder(), SettingsChanged: func() { n.changes++ },
+		Log: zerolog.Nop(), Scope: tally.NoopScope,
+	})
+	d.OnChange(func(news []directory.Entry) {
+		for _, e := range news {
+			if e.Node == name {
+				n.Publish()
+			}
+		}
+	})
+	go n.Run(ctx)
+	return n
+}
+
+func (n *node) announce(state directory.UpstreamState) {
+	n.config.Directory.UpdateSelf(func(e *directory.Entry) {
+		e.Upstream = &directory.Upstream{ID: "i-" + e.Node, Service: "s", Slots: 1, State: state}
+	})
+}
+
+func (n *node) stateOf(name string) directory.UpstreamState {
+	e, ok := n.config.Directory.Get(name)
+	if !ok || e.Upstream == nil {
+		return ""
+	}
+	return e.Upstream.State
+}
+
+// run runs f with a store inside a bubble and ends the syncers afterwards.
+func run(t *testing.T, f func(ctx context.Context, t *testing.T, store *platformtest.Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		f(ctx, t, platformtest.New(1))
+	})
+}
+
+func put(t *testing.T, store *platformtest.Store, key, value string, after int64) int64 {
+	t.Helper()
+	o, err := store.Update(context.Background(), key, after, []byte(value))
+	assert.NilError(t, err)
+	return o.Version
+}
+
+// Guards against a node that misses what others wrote, or whose own entry is not
+// written again when it changes.
+func TestEntriesAndConfigurationAreFollowed(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		a, b := startNode(ctx, "a", store), startNode(ctx, "b", store)
+		a.announce(directory.Ready)
+		time.Sleep(time.Second)
+		assert.Equal(t, b.stateOf("a"), directory.Ready)
+		assert.Assert(t, b.Listed())
+		a.announce(directory.Draining)
+		time.Sleep(time.Second)
+		assert.Equal(t, b.stateOf("a"), directory.Draining)
+		version := put(t, store, "config/main", "4", 0)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, b.config.Document.Version(), uint64(4))
+		put(t, store, "config/main", "9", version)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, a.config.Document.Version(), uint64(9))
+	})
+}
+
+// Guards against an entry that stays missing although the store is back: it must
+// be there within about two seconds.
+func TestEntryIsBackAfterAnOutage(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		a, b := startNode(ctx, "a", store), startNode(ctx, "b", store)
+		time.Sleep(time.Second)
+		store.SetFaults(platformtest.Faults{Outage: true})
+		a.announce(directory.Ready)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, b.stateOf("a"), directory.UpstreamState(""))
+		store.SetFaults(platformtest.Faults{})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, b.stateOf("a"), directory.Ready)
+	})
+}
+
+// Guards against an entry that somebody has removed although its node lives.
+func TestRemovedEntryIsWrittenAgain(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		a := startNode(ctx, "a", store)
+		a.announce(directory.Ready)
+		time.Sleep(time.Second)
+		o, err := store.Get(ctx, "nodes/a")
+		assert.NilError(t, err)
+		assert.NilError(t, store.Delete(ctx, "nodes/a", o.Version))
+		time.Sleep(2 * time.Second)
+		_, err = store.Get(ctx, "nodes/a")
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against lost and late answers to writes that leave an older entry in the
+// store, or a restarted node that loses against the process before it.
+func TestLostAnswersLeaveTheNewestEntry(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		first, stop := context.WithCancel(ctx)
+		old := startNode(first, "a", store)
+		old.announce(directory.Ready)
+		time.Sleep(time.Second)
+		stop()
+		store.SetFaults(platformtest.Faults{LostAnswerShare: 0.4, LateWriteShare: 0.4, LateWriteMs: 3000})
+		a := startNode(ctx, "a", store)
+		for range 20 {
+			a.announce(directory.Ready)
+			time.Sleep(300 * time.Millisecond)
+			a.announce(directory.Draining)
+			time.Sleep(300 * time.Millisecond)
+		}
+		store.SetFaults(platformtest.Faults{})
+		time.Sleep(5 * time.Second)
+		o, err := store.Get(ctx, "nodes/a")
+		assert.NilError(t, err)
+		var e directory.Entry
+		assert.NilError(t, json.Unmarshal(o.Value, &e))
+		assert.Equal(t, e.Version, a.config.Directory.Self().Version)
+		assert.Equal(t, e.Upstream.State, directory.Draining)
+	})
+}
+
+// deafStore is a store whose watches hear nothing.
+type deafStore struct {
+	platform.Store
+}
+
+func (s deafStore) Watch(ctx context.Context, _ string, after int64) (platform.Events, error) {
+	<-ctx.Done()
+	return platform.Events{Version: after}, ctx.Err()
+}
+
+// Guards against a configuration that is not in force in time because the watch
+// hears nothing while the store drops its history.
+func TestConfigurationIsReadBesidesWatching(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		a := startNode(ctx, "a", deafStore{store})
+		time.Sleep(time.Second)
+		put(t, store, "config/main", "4", 0)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, a.config.Document.Version(), uint64(4))
+	})
+}
+
+// Guards against an operator's override that does not come into force, and against
+// one bad scope that holds back the others.
+func TestSettingsTreeIsFollowed(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		a := startNode(ctx, "a", store)
+		time.Sleep(time.Second)
+		put(t, store, "settings/default", "nonsense", 0)
+		put(t, store, "settings/service/s", `{"overrides":{"queue_per_slot":{"value":3,"set_by":"t","reason":"r","set_at":"2026-03-02T09:30:00Z"}}}`, 0)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, a.changes > 0)
+		assert.Equal(t, a.config.Settings.Tree().Resolve(settings.Path{Service: "s"}).QueuePerSlot, 3.0)
+		assert.Assert(t, len(a.config.Settings.Refusals()) > 0)
+	})
+}
+
+// Guards against a fleet that calls a store which is away in a tight loop.
+func TestCallsArePacedDuringAnOutage(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		store.SetFaults(platformtest.Faults{Outage: true})
+		a := startNode(ctx, "a", store)
+		a.announce(directory.Ready)
+		time.Sleep(time.Minute)
+		counts := store.Counts()
+		// Four loops pause for at least half of the longest pause, six tenths of a
+		// second, and a few shorter ones at first.
+		assert.Assert(t, counts.Reads()+counts.Writes() < 440, "%+v", counts)
+	})
+}
