Dead entries are removed; silent upstreams count as gone

An upstream without four heartbeats gets no calls. Connections to upstreams are probed like those to nodes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,6 +11,10 @@
 	"time"
 )
 
+// removedRetention is how long a removed entry is kept, so that no node that was
+// cut off for an hour brings it back.
+const removedRetention = 2 * time.Hour
+
 // Directory is safe for concurrent use.
 type Directory struct {
 	now func() time.Time
@@ -115,6 +119,59 @@
 	}
 }
 
+// Remove marks the entry of a node that was found dead. A node that lives after
+// all sees it and raises its own version. It reports whether the entry was there.
+func (d *Directory) Remove(node string, version uint64) bool {
+	d.mu.Lock()
+	e, ok := d.entries[node]
+	if !ok || node == d.self.Node || e.Removed || e.Version != version {
+		d.mu.Unlock()
+		return false
+	}
+	e.Removed = true
+	e.Version++
+	e.Learned = d.now()
+	d.entries[node] = e
+	d.forgetRemoved()
+	d.mu.Unlock()
+	d.notify([]Entry{e})
+	return true
+}
+
+// forgetRemoved drops entries removed so long ago that every node knows. The
+// caller holds the lock.
+func (d *Directory) forgetRemoved() {
+	for node, e := range d.entries {
+		if e.Removed && d.now().Sub(e.Learned) > removedRetention {
+			delete(d.entries, node)
+		}
+	}
+}
+
+// Successor returns the entry after this node's in the order of the addresses,
+// leaving out removed ones, and false without any. Every node is the successor
+// of one other.
+func (d *Directory) Successor() (Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var first, next Entry
+	for _, e := range d.entries {
+		if e.Removed || e.Node == d.self.Node {
+			continue
+		}
+		if first.Node == "" || e.Node < first.Node {
+			first = e
+		}
+		if e.Node > d.self.Node && (next.Node == "" || e.Node < next.Node) {
+			next = e
+		}
+	}
+	if next.Node == "" {
+		next = first
+	}
+	return next, next.Node != ""
+}
+
 // Self returns this node's entry.
 func (d *Directory) Self() Entry {
 	d.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -45,8 +45,10 @@
 	Sender    Sender
 	// Seeds are addresses to ask while the directory knows no other node.
 	Seeds []string
-	Log   zerolog.Logger
-	Scope tally.Scope
+	// Removed is called after this node has removed the entry of a dead one.
+	Removed func(node string)
+	Log     zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Gossiper runs the exchanges of one node.
@@ -55,6 +57,9 @@
 	exchanges tally.Counter
 	failures  tally.Counter
 	news      chan struct{}
+	// turn and neighbour belong to Run.
+	turn      int
+	neighbour neighbour
 
 	mu      sync.Mutex
 	pending map[string]directory.Entry
@@ -101,14 +106,30 @@
 		case <-g.news:
 			g.spreadNews(ctx)
 		case <-timer.C:
-			if peers := g.pick(1); len(peers) > 0 {
-				g.exchange(ctx, peers[0])
-			}
+			g.tick(ctx)
 			timer.Reset(g.pause())
 		}
 	}
 }
 
+// tick exchanges with the neighbour and with a random node by turns.
+func (g *Gossiper) tick(ctx context.Context) {
+	g.turn++
+	if next, ok := g.config.Directory.Successor(); ok && g.turn%2 == 0 {
+		failed := !g.exchange(ctx, next.Address)
+		if ctx.Err() == nil && g.neighbour.observe(time.Now(), next.Node, next.Version, failed) {
+			g.config.Log.Warn().Str("entry", next.Node).Uint64("version", next.Version).Msg("node does not respond, entry removed")
+			if g.config.Directory.Remove(next.Node, next.Version) {
+				g.config.Removed(next.Node)
+			}
+		}
+		return
+	}
+	if peers := g.pick(1); len(peers) > 0 {
+		g.exchange(ctx, peers[0])
+	}
+}
+
 // pause varies so that nodes started together do not stay in step.
 func (g *Gossiper) pause() time.Duration {
 	return interval/2 + rand.N(interval)
@@ -142,16 +163,18 @@
 	}
 }
 
-// exchange compares what both nodes know and evens it out.
-func (g *Gossiper) exchange(ctx context.Context, peer string) {
+// exchange compares what both nodes know and evens it out. It reports whether the
+// other node responded.
+func (g *Gossiper) exchange(ctx context.Context, peer string) bool {
 	reply, err := g.send(ctx, peer, message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()})
 	if err != nil {
 		g.failures.Inc(1)
-		return
+		return false
 	}
 	g.exchanges.Inc(1)
 	g.take(reply, peer)
 	g.sendWanted(ctx, peer, reply)
+	return true
 }
 
 // sendWanted sends what the reply shows that the peer lacks.
--- a/internal/mesh/hop.go
+++ b/internal/mesh/hop.go
@@ -120,8 +120,10 @@
 // decodeVerdict reads and removes the headers between nodes. A response without
 // them is of unknown outcome.
 func decodeVerdict(h http.Header) verdict {
-	v := verdict{Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != "", ShedBelow: h.Get(call.HeaderShed) != "",
-		RefusedBelow: h.Get(headerRefusedBelow) != ""}
+	v := verdict{
+		Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != "", ShedBelow: h.Get(call.HeaderShed) != "",
+		RefusedBelow: h.Get(headerRefusedBelow) != "",
+	}
 	if code, err := strconv.Atoi(h.Get(call.HeaderCode)); err == nil {
 		v.Code = resultcode.Code(code)
 	}
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -69,6 +69,7 @@
 	pool      *h1.Pool
 	admission *admission.Controller
 	drained   time.Time
+	heard     time.Time
 	timeouts  int
 	lost      bool
 }
@@ -94,7 +95,7 @@
 		c = &instance{Announcement: a, admission: admission.New(u.admissionConfig(a))}
 		c.pool = h1.NewPool(h1.PoolConfig{
 			Address: a.Address, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout,
-			MaxIdle: a.Slots, MaxResponseBytes: maxResponseBytes, SameResponse: u.config.Protocol.SameCall,
+			MaxIdle: a.Slots, MaxResponseBytes: maxResponseBytes, Harden: true, SameResponse: u.config.Protocol.SameCall,
 		})
 		u.current = c
 	}
@@ -108,6 +109,7 @@
 		c.drained = time.Time{}
 	}
 	c.Announcement = a
+	c.heard = now
 	c.lost = false
 	c.timeouts = 0
 }
@@ -253,6 +255,17 @@
 	}
 }
 
+// ExpireSilent stops calls to an upstream that has not announced itself for long.
+func (u *Upstream) ExpireSilent(now time.Time, limit time.Duration) {
+	u.mu.Lock()
+	c := u.current
+	silent := c != nil && !c.lost && now.Sub(c.heard) > limit
+	u.mu.Unlock()
+	if silent {
+		u.lose(c, "no announcement for "+limit.String())
+	}
+}
+
 // lose stops calls to an instance until it announces itself again.
 func (u *Upstream) lose(c *instance, reason string) {
 	u.mu.Lock()
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -42,8 +42,12 @@
 	leaveNotice = 2500 * time.Millisecond
 	// drainPart is the part of the drain bound after which calls for an upstream
 	// that leaves are refused.
-	drainPart  = 0.4
-	settlePoll = 20 * time.Millisecond
+	drainPart = 0.4
+	// silentBeats is the number of heartbeats an upstream may miss before it counts
+	// as gone. One may be seconds late.
+	silentBeats  = 4
+	silenceCheck = time.Second
+	settlePoll   = 20 * time.Millisecond
 	// adminHeaderTimeout bounds the header of a request of an operator.
 	adminHeaderTimeout = 5 * time.Second
 )
@@ -72,8 +76,10 @@
 	Keys         storesync.Keys
 	Seeds        []string
 	Bounds       Bounds
-	MemoryMiB    int64
-	Log          zerolog.Logger
+	// Heartbeat is how often the upstream announces itself.
+	Heartbeat time.Duration
+	MemoryMiB int64
+	Log       zerolog.Logger
 }
 
 // Node is a running node.
@@ -128,7 +134,8 @@
 	n.instances = mesh.NewInstances(c.Region, c.FailureDomain, n.directory, values)
 	n.budget = budget.New(budget.Bounds{Ratio: c.Bounds.RepeatRatio, Slack: c.Bounds.RepeatSlack, Window: c.Bounds.RepeatWindow})
 	n.gossiper = gossip.New(gossip.Config{
-		Directory: n.directory, Document: n.document, Sender: n.links, Seeds: c.Seeds, Log: c.Log, Scope: scope,
+		Directory: n.directory, Document: n.document, Sender: n.links, Seeds: c.Seeds,
+		Removed: func(node string) { go n.syncer.Remove(context.Background(), node) }, Log: c.Log, Scope: scope,
 	})
 	n.syncer = storesync.New(storesync.Config{
 		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document,
@@ -166,6 +173,7 @@
 		}()
 	}
 	go n.gossiper.Run(ctx)
+	go n.watchUpstream(ctx)
 	go n.syncer.Run(ctx)
 }
 
@@ -263,6 +271,20 @@
 	})
 }
 
+// watchUpstream notices an upstream that has fallen silent.
+func (n *Node) watchUpstream(ctx context.Context) {
+	ticker := time.NewTicker(silenceCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.upstream.ExpireSilent(now, silentBeats*n.config.Heartbeat)
+		}
+	}
+}
+
 // lostUpstream announces that the upstream cannot be reached.
 func (n *Node) lostUpstream(id string) {
 	n.directory.UpdateSelf(func(e *directory.Entry) {
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -35,6 +35,8 @@
 	// more nodes there are. It is a fraction of the time in which a configuration
 	// must be in force.
 	pollEvery = 600 * time.Millisecond
+	// removeTimeout bounds the removal of an entry, which takes two calls.
+	removeTimeout = 5 * time.Second
 	// relistAfter is the number of failed watches in a row after which the whole
 	// list is read again.
 	relistAfter = 4
@@ -280,6 +282,22 @@
 	return o.Version, err
 }
 
+// Remove deletes the entry of a dead node from the store, once: if that fails, or
+// the node has written since, the entry stays and is removed by a later finding.
+func (s *Syncer) Remove(ctx context.Context, node string) {
+	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
+	defer cancel()
+	s.calls.Inc(2)
+	o, err := s.config.Store.Get(ctx, s.key(node))
+	if err == nil {
+		err = s.config.Store.Delete(ctx, o.Key, o.Version)
+	}
+	if err != nil {
+		s.errors.Inc(1)
+		s.config.Log.Warn().Err(err).Str("entry", node).Msg("entry of a dead node not deleted")
+	}
+}
+
 // sleep waits for a random part of the pause, at least half.
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause/2 + rand.N(pause/2))
