--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -97,6 +97,15 @@
 	return balancer.Config{Region: s.region, FailureDomain: s.domain, LocalCost: localCost, StragglerShare: v.StragglerShare}
 }
 
+// Knows reports whether the directory lists an instance of a service that takes
+// calls.
+func (s *Instances) Knows(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.balancers[service]
+	return ok && b.Ready(nil) > 0
+}
+
 // Reconfigure applies the settings in force.
 func (s *Instances) Reconfigure() {
 	s.mu.Lock()
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -34,9 +34,9 @@
 	memoryPart = 0.5
 	// gcPercent trades memory, of which there is plenty, for processor time.
 	gcPercent = 200
-	// listWait is how long a node that knows the configuration waits for the
-	// directory before it says that it is ready.
-	listWait = 1500 * time.Millisecond
+	// instancesWait is how long a node waits after its start for instances of all
+	// services that have routes, before it says that it is ready without them.
+	instancesWait = 3 * time.Second
 	// leaveNotice is how long a node that shuts down still serves, so that
 	// callers and other nodes learn of it.
 	leaveNotice = 2500 * time.Millisecond
@@ -99,6 +99,8 @@
 	listeners []net.Listener
 	started   time.Time
 	leaving   atomic.Bool
+	// served is set once the node knew an instance of every service.
+	served atomic.Bool
 }
 
 // New opens the listeners of a node; Start serves them.
@@ -301,9 +303,15 @@
 		return errors.New("shutting down")
 	case n.document.Table() == nil:
 		return errors.New("no configuration is known yet")
-	case !n.syncer.Listed() && len(n.directory.Peers()) == 0 && time.Since(n.started) < listWait:
-		return errors.New("no other node is known yet")
+	case n.served.Load() || time.Since(n.started) >= instancesWait:
+		return nil
+	}
+	for _, service := range n.document.Table().Services() {
+		if !n.instances.Knows(service) {
+			return errors.Errorf("no instance of service %q is known yet", service)
+		}
 	}
+	n.served.Store(true)
 	return nil
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -53,6 +53,21 @@
 	return nil
 }
 
+// Services returns the services that routes name, each once.
+func (t *Table) Services() []string {
+	var services []string
+	for _, list := range t.hosts {
+		for _, r := range list {
+			for _, target := range r.Targets {
+				if !slices.Contains(services, target.Service) {
+					services = append(services, target.Service)
+				}
+			}
+		}
+	}
+	return services
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
