A few nodes watch the store for all; hedges only beyond the usual latency

Six nodes watch configuration and directory, the others learn from them, and a node that hears from no other watches for itself. Hedges: 0.95 quantile, or 0.6 of the objective while latencies are unknown.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -58,6 +58,18 @@
 	return b.core.hedgeDelay(now, kind)
 }
 
+// Latency returns the latency of a kind that the given part of its recent calls
+// stayed below, and false while too few are known.
+func (b *Balancer) Latency(now time.Time, kind string, part float64) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.core.kinds.get(now, kind)
+	if k.recent.total < hedgeMinSamples {
+		return 0, false
+	}
+	return k.recent.quantile(part), true
+}
+
 // Busy reports whether an instance is shedding calls or has more of them than
 // slots, as far as this node knows.
 func (b *Balancer) Busy(now time.Time) bool {
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -25,8 +25,8 @@
 	setAside   int
 	evaluated  time.Time
 	roundRobin uint64
-	// admitting and ramping are scratch space of pick.
-	admitting, ramping []*instanceState
+	// admitting, ramping and near are scratch space of pick.
+	admitting, ramping, near []*instanceState
 }
 
 func newCore(config Config, random *rand.Rand) *core {
@@ -184,28 +184,25 @@
 		// Only stragglers admit the call.
 		candidates = c.admitting
 	}
-	if s := c.local(now, candidates); s != nil {
-		return s
+	if local := c.withRoom(now, candidates); len(local) > 0 {
+		candidates = local
 	}
 	return c.twoChoices(now, candidates)
 }
 
-// local returns the cheapest instance of the caller's failure domain that has
-// room, nil when there is none. Bytes between failure domains are paid for.
-func (c *core) local(now time.Time, candidates []*instanceState) *instanceState {
+// withRoom returns the instances of the caller's failure domain that have room.
+// Bytes between failure domains are paid for.
+func (c *core) withRoom(now time.Time, candidates []*instanceState) []*instanceState {
+	c.near = c.near[:0]
 	if c.config.LocalCost == 0 {
 		return nil
 	}
-	var best *instanceState
 	for _, s := range candidates {
-		if s.FailureDomain != c.config.FailureDomain || s.cost(now) >= c.config.LocalCost {
-			continue
-		}
-		if best == nil || s.cost(now) < best.cost(now) {
-			best = s
+		if s.FailureDomain == c.config.FailureDomain && s.cost(now) < c.config.LocalCost {
+			c.near = append(c.near, s)
 		}
 	}
-	return best
+	return c.near
 }
 
 func (c *core) twoChoices(now time.Time, candidates []*instanceState) *instanceState {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -60,6 +61,8 @@
 	// turn and neighbour belong to Run.
 	turn      int
 	neighbour neighbour
+	// lastExchange is when this node last heard from another one.
+	lastExchange atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	pending map[string]directory.Entry
@@ -172,6 +175,7 @@
 		return false
 	}
 	g.exchanges.Inc(1)
+	g.heard()
 	g.take(reply, peer)
 	g.sendWanted(ctx, peer, reply)
 	return true
@@ -217,6 +221,20 @@
 	}
 }
 
+func (g *Gossiper) heard() {
+	now := time.Now()
+	g.lastExchange.Store(&now)
+}
+
+// LastExchange returns when this node last heard from another one, and the zero
+// time before that.
+func (g *Gossiper) LastExchange() time.Time {
+	if at := g.lastExchange.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Serve takes a message of another node.
 func (g *Gossiper) Serve(_ context.Context, r *h1.Request) *h1.Response {
 	var m message
@@ -227,6 +245,7 @@
 		g.config.Log.Warn().Err(err).Str("from", r.RemoteIP).Msg("gossip message not readable")
 		return &h1.Response{Status: http.StatusBadRequest, Header: http.Header{}}
 	}
+	g.heard()
 	g.take(m, r.RemoteIP)
 	reply := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
 	if m.Digest != reply.Digest {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,9 +23,22 @@
 // network connects gossipers without sockets. Cut addresses reach nobody.
 type network struct {
 	nodes map[string]*Gossiper
+	mu    sync.Mutex
 	cut   map[string]bool
 }
 
+func (n *network) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+func (n *network) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[a] || n.cut[b]
+}
+
 // port is the network as one node sees it.
 type port struct {
 	network *network
@@ -33,7 +47,7 @@
 
 func (p port) Exchange(ctx context.Context, address string, r *h1.Request, _ time.Time) (*h1.Response, error) {
 	target, ok := p.network.nodes[address]
-	if !ok || p.network.cut[address] || p.network.cut[p.address] {
+	if !ok || p.network.isCut(address, p.address) {
 		return nil, &h1.SendError{Cause: errors.New("unreachable")}
 	}
 	return target.Serve(ctx, r), nil
@@ -62,6 +76,8 @@
 		g.config.Document.OnChange(func(*routing.Table) { g.TellConfig() })
 		net.nodes[address] = g
 		fleet = append(fleet, g)
+	}
+	for _, g := range fleet {
 		go g.Run(ctx)
 	}
 	return net, fleet
@@ -79,7 +95,7 @@
 		for i, g := range fleet {
 			assert.Equal(t, len(g.config.Directory.All()), 30, "node %d", i)
 		}
-		net.cut["node-7"] = true
+		net.setCut("node-7", true)
 		assert.Assert(t, fleet[3].config.Document.Offer([]byte("5"), "test"))
 		fleet[4].config.Directory.UpdateSelf(func(e *directory.Entry) {
 			e.Upstream = &directory.Upstream{ID: "i", Service: "s", State: directory.Draining}
@@ -94,7 +110,7 @@
 			e, _ := g.config.Directory.Get("node-4")
 			assert.Assert(t, e.Upstream != nil, "node %d", i)
 		}
-		delete(net.cut, "node-7")
+		net.setCut("node-7", false)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, fleet[7].config.Document.Version(), uint64(5))
 	})
@@ -108,11 +124,12 @@
 		defer func() { cancel(); synctest.Wait() }()
 		net, fleet := startFleet(ctx, 12)
 		time.Sleep(10 * time.Second)
-		net.cut["node-5"], net.cut["node-6"] = true, true
+		net.setCut("node-5", true)
+		net.setCut("node-6", true)
 		time.Sleep(8 * time.Second)
 		e, _ := fleet[0].config.Directory.Get("node-5")
 		assert.Assert(t, !e.Removed)
-		delete(net.cut, "node-6")
+		net.setCut("node-6", false)
 		time.Sleep(time.Minute)
 		for i, g := range fleet {
 			if i == 5 {
@@ -123,7 +140,7 @@
 			alive, _ := g.config.Directory.Get("node-6")
 			assert.Assert(t, !alive.Removed, "node %d", i)
 		}
-		delete(net.cut, "node-5")
+		net.setCut("node-5", false)
 		time.Sleep(5 * time.Second)
 		back, _ := fleet[0].config.Directory.Get("node-5")
 		assert.Assert(t, !back.Removed)
--- a/internal/mesh/hedge.go
+++ b/internal/mesh/hedge.go
@@ -12,6 +12,11 @@
 	// hedgePart is the part of the route's objective after which an idempotent
 	// call is sent to a second instance: what is left suffices for a usual run.
 	hedgePart = 0.4
+	// unknownPart takes the place of hedgePart while the usual latency is unknown.
+	unknownPart = 0.6
+	// hedgeQuantile keeps hedges to the calls that take longer than nearly all
+	// others of their kind: when all are slow, a second run only adds load.
+	hedgeQuantile = 0.95
 	// hedgeStanding lets hedges take from the repeat allowance only while it is
 	// nearly full, since repeats after failures are worth more.
 	hedgeStanding = 0.0
@@ -19,11 +24,15 @@
 
 // hedgeDelay returns when a second instance may be tried beside the first, and
 // false for a call that must not run twice or has no objective.
-func (o *outgoing) hedgeDelay() (time.Duration, bool) {
+func (o *outgoing) hedgeDelay(b *balancer.Balancer) (time.Duration, bool) {
 	if !o.route.Idempotent || o.route.MaxAttempts < 2 || o.route.Objective <= 0 || o.reached > 0 || o.repeat {
 		return 0, false
 	}
-	delay := time.Duration(hedgePart * float64(o.route.Objective))
+	objective := float64(o.route.Objective)
+	delay := time.Duration(unknownPart * objective)
+	if usual, known := b.Latency(time.Now(), o.route.Name, hedgeQuantile); known {
+		delay = max(time.Duration(hedgePart*objective), usual)
+	}
 	return delay, time.Until(o.deadline) > delay+minRepeatTime
 }
 
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -170,7 +170,7 @@
 
 // send makes a try, or two side by side when the first takes long.
 func (o *outgoing) send(ctx context.Context, b *balancer.Balancer, choice balancer.Choice) attempt {
-	if delay, ok := o.hedgeDelay(); ok {
+	if delay, ok := o.hedgeDelay(b); ok {
 		return o.sendHedged(ctx, b, choice, delay)
 	}
 	a := o.try(ctx, choice, o.hop())
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -141,7 +141,7 @@
 	})
 	n.syncer = storesync.New(storesync.Config{
 		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document,
-		Settings: n.settings, SettingsChanged: n.settingsChanged, Log: c.Log, Scope: scope,
+		LastExchange: n.gossiper.LastExchange, Settings: n.settings, SettingsChanged: n.settingsChanged, Log: c.Log, Scope: scope,
 	})
 	running := mesh.NewRunning()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -58,7 +58,9 @@
 	Keys      Keys
 	Directory *directory.Directory
 	Document  *gossip.Document
-	Settings  *settings.Holder
+	// LastExchange returns when this node last heard from another one.
+	LastExchange func() time.Time
+	Settings     *settings.Holder
 	// SettingsChanged is called after the settings tree has changed.
 	SettingsChanged func()
 	Log             zerolog.Logger
@@ -100,9 +102,9 @@
 
 // Run follows the store until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
-	go s.follow(ctx, s.config.Keys.ConfigPrefix, 0, s.takeConfig)
-	go s.follow(ctx, s.config.Keys.NodesPrefix, gatherPause, s.takeNodes)
-	go s.follow(ctx, s.config.Keys.SettingsPrefix, gatherPause, s.takeSettings)
+	go s.follow(ctx, s.config.Keys.ConfigPrefix, 0, true, s.takeConfig)
+	go s.follow(ctx, s.config.Keys.NodesPrefix, gatherPause, true, s.takeNodes)
+	go s.follow(ctx, s.config.Keys.SettingsPrefix, gatherPause, false, s.takeSettings)
 	go s.poll(ctx)
 	s.publish(ctx)
 }
@@ -123,8 +125,9 @@
 	}
 }
 
-// follow lists a prefix and watches it from there on.
-func (s *Syncer) follow(ctx context.Context, prefix string, gather time.Duration, take func(change)) {
+// follow lists a prefix and watches it from there on. When the nodes tell each
+// other what is new there, spread is set and only a few of them watch.
+func (s *Syncer) follow(ctx context.Context, prefix string, gather time.Duration, spread bool, take func(change)) {
 	link := &dependency{log: s.config.Log, name: prefix}
 	for ctx.Err() == nil {
 		s.calls.Inc(1)
@@ -137,13 +140,16 @@
 		}
 		link.succeeded()
 		take(change{version: listing.Version, objects: listing.Objects, whole: true})
-		s.watch(ctx, prefix, listing.Version, gather, take, link)
+		s.watch(ctx, prefix, listing.Version, gather, spread, take, link)
 	}
 }
 
 // watch returns when the list has to be read again.
-func (s *Syncer) watch(ctx context.Context, prefix string, version int64, gather time.Duration, take func(change), link *dependency) {
+func (s *Syncer) watch(ctx context.Context, prefix string, version int64, gather time.Duration, spread bool, take func(change), link *dependency) {
 	for failures := 0; failures < relistAfter && ctx.Err() == nil; {
+		if spread && s.awaitRole(ctx, prefix) {
+			return
+		}
 		s.calls.Inc(1)
 		events, err := s.config.Store.Watch(ctx, prefix, version)
 		if errors.Is(err, platform.ErrCompacted) {
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,7 +25,9 @@
 // node is a syncer with what it keeps in step.
 type node struct {
 	*Syncer
-	changes int
+	changes atomic.Int64
+	// exchanged is when the node last heard from another one.
+	exchanged atomic.Int64
 }
 
 func testKeys() Keys {
@@ -44,7 +47,7 @@
 	d := directory.New(directory.Entry{Node: name, Address: name}, time.Now)
 	n.Syncer = New(Config{
 		Store: store, Keys: testKeys(), Directory: d, Document: gossip.NewDocument(decodeNumber, zerolog.Nop()),
-		Settings: settings.NewHolder(), SettingsChanged: func() { n.changes++ },
+		LastExchange: func() time.Time { return time.Unix(0, n.exchanged.Load()) }, Settings: settings.NewHolder(), SettingsChanged: func() { n.changes.Add(1) },
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
 	d.OnChange(func(news []directory.Entry) {
@@ -199,7 +202,7 @@
 		put(t, store, "settings/default", "nonsense", 0)
 		put(t, store, "settings/service/s", `{"overrides":{"queue_per_slot":{"value":3,"set_by":"t","reason":"r","set_at":"2026-03-02T09:30:00Z"}}}`, 0)
 		time.Sleep(2 * time.Second)
-		assert.Assert(t, a.changes > 0)
+		assert.Assert(t, a.changes.Load() > 0)
 		assert.Equal(t, a.config.Settings.Tree().Resolve(settings.Path{Service: "s"}).QueuePerSlot, 3.0)
 		assert.Assert(t, len(a.config.Settings.Refusals()) > 0)
 	})
@@ -218,3 +221,38 @@
 		assert.Assert(t, counts.Reads()+counts.Writes() < 440, "%+v", counts)
 	})
 }
+
+// Guards against calls to the store that grow with the fleet, and against a node
+// that hears nothing because it can reach the store but no other node.
+func TestFewNodesWatchForAll(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		var fleet []*node
+		for i := range 40 {
+			n := startNode(ctx, strconv.Itoa(i), store)
+			n.announce(directory.Ready)
+			fleet = append(fleet, n)
+		}
+		isolated := fleet[17]
+		// Not at the moment at which all watches of the settings tree end.
+		for range 650 {
+			for _, n := range fleet {
+				if n != isolated {
+					n.exchanged.Store(time.Now().UnixNano())
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		before := store.Counts().Watches
+		put(t, store, "config/main", "4", 0)
+		time.Sleep(100 * time.Millisecond)
+		knows := 0
+		for _, n := range fleet {
+			if n.config.Document.Version() == 4 {
+				knows++
+			}
+		}
+		assert.Assert(t, knows >= watcherCount && knows <= watcherCount+2, "%d nodes heard it from the store", knows)
+		assert.Equal(t, isolated.config.Document.Version(), uint64(4))
+		assert.Assert(t, store.Counts().Watches-before <= watcherCount+2)
+	})
+}
