--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -232,6 +232,10 @@
 			n.announce(directory.Ready)
 			fleet = append(fleet, n)
 		}
+		// Otherwise the nodes would learn of each other by gossip.
+		for _, n := range fleet {
+			n.config.Directory.Merge(fleetEntries(fleet))
+		}
 		isolated := fleet[17]
 		// Not at the moment at which all watches of the settings tree end.
 		for range 650 {
@@ -256,3 +260,11 @@
 		assert.Assert(t, store.Counts().Watches-before <= watcherCount+2)
 	})
 }
+
+func fleetEntries(fleet []*node) []directory.Entry {
+	var entries []directory.Entry
+	for _, n := range fleet {
+		entries = append(entries, n.config.Directory.Self())
+	}
+	return entries
+}
