--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,6 +23,7 @@
 	self    Entry
 	entries map[string]Entry
 	changed []func([]Entry)
+	earlier func(Entry)
 }
 
 // New returns a directory that holds only the entry of this node. Now is the
@@ -41,6 +42,12 @@
 	d.changed = append(d.changed, f)
 }
 
+// OnEarlier registers a function that receives the entry of an earlier process at
+// this node's address. Like OnChange it must not be registered later.
+func (d *Directory) OnEarlier(f func(Entry)) {
+	d.earlier = f
+}
+
 // UpdateSelf changes this node's entry and returns it. It does nothing when f
 // leaves the entry as it was.
 func (d *Directory) UpdateSelf(f func(*Entry)) Entry {
@@ -78,7 +85,7 @@
 // foreign entry of this node's own address raises the version of its own.
 func (d *Directory) Merge(entries []Entry) []Entry {
 	d.mu.Lock()
-	var news []Entry
+	var news, earlier []Entry
 	for _, e := range entries {
 		if e.Node == "" || e.Address == "" {
 			continue
@@ -87,6 +94,7 @@
 			if raised, ok := d.raise(e); ok {
 				news = append(news, raised)
 			}
+			earlier = append(earlier, e)
 			continue
 		}
 		if known, ok := d.entries[e.Node]; ok && known.Version >= e.Version {
@@ -100,6 +108,11 @@
 	if len(news) > 0 {
 		d.notify(news)
 	}
+	for _, e := range earlier {
+		if d.earlier != nil {
+			d.earlier(e)
+		}
+	}
 	return news
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -71,3 +71,14 @@
 		}
 	})
 }
+
+// Guards against a restarted node that does not learn what its earlier process
+// knew of the upstream.
+func TestEarlierEntryIsReported(t *testing.T) {
+	d := New(Entry{Node: "self", Address: "self:1"}, clock)
+	var seen []Entry
+	d.OnEarlier(func(e Entry) { seen = append(seen, e) })
+	d.Merge([]Entry{entry("self", 9_000, Ready), entry("other", 1, Ready)})
+	assert.Equal(t, len(seen), 1)
+	assert.Equal(t, seen[0].Upstream.ID, "self9000")
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -233,3 +233,38 @@
 	c.table = nil
 	assert.Equal(t, c.call(t.Context(), "a").Status, http.StatusServiceUnavailable)
 }
+
+// Guards against a call that is answered with a failure of this system while its
+// upstream works on it, because the run that made it was given up: the upstream
+// that makes the call ends it when it no longer needs it.
+func TestNestedCallOutlivesItsRun(t *testing.T) {
+	var c *cluster
+	nested := make(chan *h1.Response, 1)
+	below := &worker{handler: func(_ context.Context, r *h1.Request) *h1.Response {
+		time.Sleep(200 * time.Millisecond)
+		return ran(r, http.StatusOK, "below")
+	}}
+	c = newCluster(t, once(), below)
+	parent := &run{hop: hop{ID: "root"}, deadline: time.Now().Add(time.Second)}
+	c.caller.config.Running.add(parent)
+	go func() { nested <- c.call(context.Background(), "root.1") }()
+	time.Sleep(50 * time.Millisecond)
+	c.caller.config.Running.remove(parent)
+	assert.Equal(t, (<-nested).Status, http.StatusOK)
+}
+
+// Guards against a node that knows no upstream until the next heartbeat after a
+// restart, and against an announcement of an earlier time that replaces a newer one.
+func TestAdoptedUpstreamServesUntilItAnnouncesItself(t *testing.T) {
+	w := &worker{handler: good}
+	c := newCluster(t, once(), w)
+	u := c.upstreams["i-0"]
+	known, _ := u.Current()
+	assert.Assert(t, !u.Adopt(time.Now(), Announcement{ID: "i-old", Service: "s", Address: known.Address, Slots: 1}))
+	fresh := NewUpstream(u.config)
+	assert.Assert(t, fresh.Adopt(time.Now(), known))
+	known.Draining = true
+	fresh.Announce(time.Now().Add(-time.Second), known)
+	_, failure := fresh.take(time.Now(), "i-0")
+	assert.Assert(t, failure != nil)
+}
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -95,12 +95,6 @@
 	} else {
 		o.caller.config.Budget.Arrived(time.Now(), o.service)
 	}
-	if o.parent != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		defer cancel()
-		defer context.AfterFunc(o.parent.abandoned, cancel)()
-	}
 	// last is the failure of the try before, which says more than that no instance
 	// is left.
 	var last *resultcode.Error
--- a/internal/mesh/running.go
+++ b/internal/mesh/running.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +14,6 @@
 	hop
 	deadline time.Time
 	slot     *admission.Slot
-	// abandoned ends when the caller of the run has left.
-	abandoned context.Context
 	// shedBelow is set once a call below was refused for want of capacity or time.
 	shedBelow atomic.Bool
 	// refusedBelow is set once a call below was not run, for whatever reason.
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -114,6 +114,16 @@
 	c.timeouts = 0
 }
 
+// Adopt takes in an announcement of an earlier time unless the upstream has
+// announced itself since. It reports whether it was taken.
+func (u *Upstream) Adopt(now time.Time, a Announcement) bool {
+	if _, known := u.Current(); known {
+		return false
+	}
+	u.Announce(now, a)
+	return true
+}
+
 func (u *Upstream) admissionConfig(a Announcement) admission.Config {
 	v := u.config.Values(a.Service)
 	return admission.Config{Slots: a.Slots, QueuePerSlot: v.QueuePerSlot, QueueTimeout: v.QueueTimeout, LongShare: v.LongShare}
@@ -178,7 +188,7 @@
 		slot.Release(resultcode.NotRun)
 		return u.refuse(p, c, failure)
 	}
-	active := &run{hop: p, deadline: deadline, slot: slot, abandoned: ctx}
+	active := &run{hop: p, deadline: deadline, slot: slot}
 	u.config.Running.add(active)
 	response, v := u.send(ctx, c, p, r, deadline)
 	u.config.Running.remove(active)
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -39,7 +39,10 @@
 	instancesWait = 3 * time.Second
 	// leaveNotice is how long a node that shuts down still serves, so that
 	// callers and other nodes learn of it.
-	leaveNotice = 2500 * time.Millisecond
+	leaveNotice = 2300 * time.Millisecond
+	// serveOn is the part of the notice during which the upstream still gets new
+	// calls: what they need after it is time enough to finish.
+	serveOn = 1200 * time.Millisecond
 	// drainPart is the part of the drain bound after which calls for an upstream
 	// that leaves are refused.
 	drainPart = 0.4
@@ -68,6 +71,8 @@
 	IP, Region, FailureDomain, Service string
 	// CallerAddress takes calls of this machine, PeerAddress those of other nodes.
 	CallerAddress, PeerAddress string
+	// UpstreamAddress is where the upstream takes calls.
+	UpstreamAddress string
 	// AdminAddress serves health, metrics, status and members.
 	AdminAddress string
 	Protocol     mesh.Protocol
@@ -155,6 +160,7 @@
 	n.callers = h1.NewServer(caller, n.limits, c.Log)
 	n.peers = h1.NewServer(h1.HandlerFunc(n.servePeer), func() h1.Limits { return mesh.PeerLimits(n.limits().MaxBodyBytes) }, c.Log)
 	n.directory.OnChange(n.directoryChanged)
+	n.directory.OnEarlier(n.adoptUpstream)
 	n.document.OnChange(func(*routing.Table) { n.gossiper.TellConfig() })
 }
 
@@ -258,6 +264,11 @@
 // here before it returns.
 func (n *Node) Announce(a mesh.Announcement, cold time.Duration) {
 	n.upstream.Announce(time.Now(), a)
+	n.announceSelf(a, cold)
+}
+
+// announceSelf puts an announcement into this node's entry.
+func (n *Node) announceSelf(a mesh.Announcement, cold time.Duration) {
 	n.directory.UpdateSelf(func(e *directory.Entry) {
 		state := directory.Ready
 		if a.Draining {
@@ -287,6 +298,22 @@
 	}
 }
 
+// adoptUpstream takes over the upstream that the earlier process of this node
+// knew, until it announces itself again. If another instance is there by now, it
+// refuses calls for this one without running them.
+func (n *Node) adoptUpstream(earlier directory.Entry) {
+	u := earlier.Upstream
+	if u == nil || u.State != directory.Ready || u.Service != n.config.Service || earlier.Removed || n.leaving.Load() {
+		return
+	}
+	a := mesh.Announcement{ID: u.ID, Service: u.Service, Address: n.config.UpstreamAddress, Slots: u.Slots}
+	if !n.upstream.Adopt(time.Now(), a) {
+		return
+	}
+	n.config.Log.Info().Str("instance", u.ID).Uint64("version", earlier.Version).Msg("upstream of the earlier process adopted")
+	n.announceSelf(a, 0)
+}
+
 // lostUpstream announces that the upstream cannot be reached.
 func (n *Node) lostUpstream(id string) {
 	n.directory.UpdateSelf(func(e *directory.Entry) {
@@ -322,6 +349,9 @@
 	notice := time.Now().Add(min(leaveNotice, limit))
 	n.leaving.Store(true)
 	n.callers.Leave()
+	if n.directory.Self().Serves() {
+		time.Sleep(min(serveOn, limit))
+	}
 	n.directory.UpdateSelf(func(e *directory.Entry) { e.Leaving = true })
 	for time.Now().Before(end) {
 		if time.Now().After(notice) && n.callers.InFlight() == 0 && n.peers.InFlight() == 0 {
