--- a/internal/mesh/caller.go
+++ b/internal/mesh/caller.go
@@ -79,19 +79,19 @@
 	info := c.config.Protocol.DecodeCall(r.Header)
 	table := c.config.Routes()
 	if table == nil {
-		return c.refuse(r, info, nil, resultcode.New(resultcode.NoInstance, "no configuration is known yet"))
+		return c.refuse(r, info, nil, 0, resultcode.New(resultcode.NoInstance, "no configuration is known yet"))
 	}
 	route := table.Match(r.Host, r.Target)
 	if route == nil {
-		return c.refuse(r, info, nil, resultcode.New(resultcode.UnknownService, "host %q and path %q match no route of version %d", r.Host, r.Target, table.Version))
+		return c.refuse(r, info, nil, table.Version, resultcode.New(resultcode.UnknownService, "host %q and path %q match no route of version %d", r.Host, r.Target, table.Version))
 	}
-	response := c.start(r, info, route).run(ctx)
+	response := c.start(r, info, route, table.Version).run(ctx)
 	c.latency.RecordDuration(time.Since(r.Arrived))
 	return response
 }
 
 // start describes the call.
-func (c *Caller) start(r *h1.Request, info CallInfo, route *routing.Route) *outgoing {
+func (c *Caller) start(r *h1.Request, info CallInfo, route *routing.Route, config uint64) *outgoing {
 	timeout := defaultTimeout
 	if info.Timeout > 0 {
 		timeout = info.Timeout
@@ -101,7 +101,7 @@
 	}
 	_, point := math.Modf(float64(c.turn.Add(1)) * goldenRatio)
 	o := &outgoing{
-		caller: c, request: r, info: info, route: route,
+		caller: c, request: r, info: info, route: route, config: config,
 		service:  route.Pick(point),
 		parent:   c.config.Running.find(info.Parent),
 		priority: route.Priority,
@@ -113,14 +113,14 @@
 }
 
 // refuse responds to a call that was sent to no upstream.
-func (c *Caller) refuse(r *h1.Request, info CallInfo, route *routing.Route, failure *resultcode.Error) *h1.Response {
+func (c *Caller) refuse(r *h1.Request, info CallInfo, route *routing.Route, config uint64, failure *resultcode.Error) *h1.Response {
 	c.count(failure.Code)
 	kind := ""
 	if route != nil {
 		kind = route.Name
 	}
 	c.config.Log.Info().Str("id", info.ID).Str("kind", kind).Int("code", int(failure.Code)).
-		Dur("age", time.Since(r.Arrived)).Str("detail", failure.Detail).Msg("call refused")
+		Dur("age", time.Since(r.Arrived)).Uint64("config", config).Str("detail", failure.Detail).Msg("call refused")
 	return c.respond(info, failure)
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -188,16 +188,16 @@
 	var nested *outgoing
 	c = newCluster(t, once(), &worker{handler: func(_ context.Context, r *h1.Request) *h1.Response {
 		info := CallInfo{ID: "root.child", Parent: "root"}
-		nested = c.caller.start(&h1.Request{Arrived: time.Now()}, info, &routing.Route{Name: "below", Targets: []routing.Target{{Service: "s", Weight: 1}}})
+		nested = c.caller.start(&h1.Request{Arrived: time.Now()}, info, &routing.Route{Name: "below", Targets: []routing.Target{{Service: "s", Weight: 1}}}, 1)
 		return ran(r, http.StatusOK, "")
 	}})
 	assert.Equal(t, c.call(t.Context(), "root").Status, http.StatusOK)
-	root := c.caller.start(&h1.Request{Arrived: time.Now()}, CallInfo{ID: "root"}, c.table.Match("h", "/r/"))
+	root := c.caller.start(&h1.Request{Arrived: time.Now()}, CallInfo{ID: "root"}, c.table.Match("h", "/r/"), 1)
 	assert.Equal(t, nested.priority, root.priority)
 	assert.Equal(t, nested.rank, root.rank)
 	assert.Equal(t, nested.depth, uint8(1))
 	// The run has ended, so an id that names it proves nothing.
-	forged := c.caller.start(&h1.Request{Arrived: time.Now()}, CallInfo{ID: "root.x", Parent: "root"}, c.table.Match("h", "/r/"))
+	forged := c.caller.start(&h1.Request{Arrived: time.Now()}, CallInfo{ID: "root.x", Parent: "root"}, c.table.Match("h", "/r/"), 1)
 	assert.Assert(t, forged.parent == nil)
 }
 
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -43,6 +43,8 @@
 	request *h1.Request
 	info    CallInfo
 	route   *routing.Route
+	// config is the version of the configuration that the route belongs to.
+	config  uint64
 	service string
 	// parent is the run of the upstream that made this call, nil for a root.
 	parent   *run
@@ -288,6 +290,7 @@
 func (o *outgoing) logRepeat(a attempt) {
 	o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Str("instance", a.choice.Instance.ID).
 		Int("code", int(a.verdict.Code)).Str("run", a.verdict.Execution.String()).Dur("latency", a.latency).
+		Dur("entry_age", time.Since(a.choice.Instance.Ready)).Uint64("config", o.config).
 		Dur("left", time.Until(o.deadline)).Str("detail", a.verdict.Detail).Msg("call tried again")
 }
 
@@ -302,7 +305,8 @@
 	o.caller.count(resultcode.OK)
 	if a.response.Status >= 500 {
 		o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Str("instance", a.choice.Instance.ID).
-			Int("status", a.response.Status).Dur("latency", a.latency).Int("upstreams", o.reached).Msg("upstream failed the call")
+			Int("status", a.response.Status).Dur("latency", a.latency).Int("upstreams", o.reached).Uint64("config", o.config).
+			Bool("refused_below", a.verdict.RefusedBelow).Msg("upstream failed the call")
 	}
 	return a.response
 }
@@ -325,11 +329,11 @@
 		failure.Execution = resultcode.Unknown
 	}
 	if failure.Execution == resultcode.NotRun {
-		return o.caller.refuse(o.request, o.info, o.route, failure)
+		return o.caller.refuse(o.request, o.info, o.route, o.config, failure)
 	}
 	o.caller.count(failure.Code)
 	o.caller.config.Log.Info().Str("id", o.info.ID).Str("kind", o.route.Name).Int("code", int(failure.Code)).
 		Dur("age", time.Since(o.request.Arrived)).Int("upstreams", o.reached).Strs("tried", o.tried).
-		Str("detail", failure.Detail).Msg("call failed")
+		Uint64("config", o.config).Str("detail", failure.Detail).Msg("call failed")
 	return o.caller.respond(o.info, failure)
 }
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -293,10 +293,28 @@
 func (u *Upstream) refuse(p hop, c *instance, failure *resultcode.Error) *h1.Response {
 	u.refusals.Inc(1)
 	u.config.Log.Info().Str("id", p.ID).Str("kind", p.Kind).Str("instance", p.Instance).
-		Int("code", int(failure.Code)).Str("detail", failure.Detail).Msg("call refused beside the upstream")
+		Int("code", int(failure.Code)).Str("detail", failure.Detail).Object("load", loadOf(c)).Msg("call refused beside the upstream")
 	return u.report(c, nil, verdict{Code: failure.Code, Execution: resultcode.NotRun})
 }
 
+// loadField is the load of an instance as a log field.
+type loadField struct {
+	admission.Load
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (f loadField) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("running", f.Running).Int("queued", f.Queued).Int("slots", f.Slots).
+		Str("level", f.Level.Priority.String()).Uint32("level_rank", f.Level.Rank)
+}
+
+func loadOf(c *instance) loadField {
+	if c == nil {
+		return loadField{}
+	}
+	return loadField{c.admission.Load()}
+}
+
 // report puts the verdict on the upstream's response or on one of this node.
 func (u *Upstream) report(c *instance, response *h1.Response, v verdict) *h1.Response {
 	if response == nil {
