--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -54,6 +54,13 @@
 	return &Budget{bounds: bounds, nodes: 1, services: make(map[string]*allowance)}
 }
 
+// SetBounds replaces the bounds.
+func (b *Budget) SetBounds(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds = bounds
+}
+
 // SetNodes says how many nodes share the slack.
 func (b *Budget) SetNodes(n int) {
 	b.mu.Lock()
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -13,10 +13,21 @@
 	return Bounds{Ratio: 0.2, Slack: 47, Window: 10 * time.Second}
 }
 
-// event is one arrival at the service.
-type event struct {
-	at     time.Time
-	repeat bool
+// seconds is the length of a run.
+const seconds = 40
+
+// history counts the arrivals at the service in each second.
+type history struct {
+	first, repeats [seconds]int
+}
+
+// sum counts the arrivals of one window.
+func sum(counts [seconds]int, from, length int) int {
+	n := 0
+	for i := max(0, from); i < min(seconds, from+length); i++ {
+		n += counts[i]
+	}
+	return n
 }
 
 // Guards against nodes that each spend the allowance of the whole fleet: in any
@@ -31,9 +42,9 @@
 			fleet[i].SetNodes(nodes)
 		}
 		start := time.Unix(0, 0)
-		var events []event
+		events := &history{}
 		next := 0
-		for second := range 40 {
+		for second := range seconds {
 			rate := rapid.SampledFrom([]int{0, 5, 50, 500}).Draw(t, fmt.Sprint("rate", second))
 			failing := rapid.SampledFrom([]int{0, 1, 2, 5}).Draw(t, fmt.Sprint("failing", second))
 			for i := range rate {
@@ -41,38 +52,29 @@
 				b := fleet[next%nodes]
 				next++
 				b.Arrived(now, "s")
-				events = append(events, event{at: now})
+				events.first[second]++
 				for range failing {
 					if b.Take(now, "s", 1) {
-						events = append(events, event{at: now, repeat: true})
+						events.repeats[second]++
 					}
 				}
 			}
 		}
-		checkWindows(t, start, events)
+		checkWindows(t, events)
 	})
 }
 
 // checkWindows compares each window with the bounds. The requests are those of
 // the window, of the one before or of the one half a window before, as the
 // operators count them.
-func checkWindows(t *rapid.T, start time.Time, events []event) {
+func checkWindows(t *rapid.T, events *history) {
 	b := bounds()
-	count := func(from time.Time, repeat bool) int {
-		n := 0
-		for _, e := range events {
-			if e.repeat == repeat && !e.at.Before(from) && e.at.Before(from.Add(b.Window)) {
-				n++
-			}
-		}
-		return n
-	}
-	for second := range 31 {
-		from := start.Add(time.Duration(second) * time.Second)
-		requests := max(count(from, false), count(from.Add(-b.Window/2), false), count(from.Add(-b.Window), false))
-		repeats := count(from, true)
+	length := int(b.Window / time.Second)
+	for from := range seconds - length + 1 {
+		requests := max(sum(events.first, from, length), sum(events.first, from-length/2, length), sum(events.first, from-length, length))
+		repeats := sum(events.repeats, from, length)
 		if limit := b.Ratio*float64(requests) + b.Slack; float64(repeats) > limit {
-			t.Fatalf("window from second %d: %d repeats for %d requests, want at most %g", second, repeats, requests, limit)
+			t.Fatalf("window from second %d: %d repeats for %d requests, want at most %g", from, repeats, requests, limit)
 		}
 	}
 }
--- a/internal/h1/message.go
+++ b/internal/h1/message.go
@@ -57,6 +57,9 @@
 	MaxBodyBytes   int64
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
+	// MaxBufferedBytes bounds the bodies of all requests that a server holds at a
+	// time; zero means no bound.
+	MaxBufferedBytes int64
 }
 
 // connectionHeaders concern one connection and are never forwarded.
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -23,6 +23,8 @@
 	conns    map[*serverConn]struct{}
 	closed   bool
 	inFlight atomic.Int64
+	// buffered is the number of bytes in the bodies of requests in flight.
+	buffered atomic.Int64
 }
 
 // NewServer returns a server. Limits is asked for each request.
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 var (
 	errHeaderTooLarge = errors.New("header is larger than its limit")
 	errTooLarge       = errors.New("body is larger than its limit")
+	errNoMemory       = errors.New("the bodies held have reached their limit")
 )
 
 func pauseAfterAcceptError() {
@@ -117,6 +119,9 @@
 	if parsed.Header.Get("Expect") != "" {
 		c.sendContinue()
 	}
+	if held := c.server.buffered.Load(); limits.MaxBufferedBytes > 0 && held+max(0, parsed.ContentLength) > limits.MaxBufferedBytes {
+		return nil, false, errNoMemory
+	}
 	c.limited.N = limits.MaxBodyBytes + readBuffer
 	body, err := readBody(parsed, limits.MaxBodyBytes)
 	if err != nil {
@@ -204,12 +209,14 @@
 	c.queue = append(c.queue, e)
 	c.mu.Unlock()
 	c.server.inFlight.Add(1)
+	c.server.buffered.Add(int64(len(r.Body)))
 	go c.serve(e, r)
 	return true
 }
 
 func (c *serverConn) serve(e *exchange, r *Request) {
-	response := c.server.handler.Serve(c.ctx, r)
+	response := c.handle(r)
+	c.server.buffered.Add(-int64(len(r.Body)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.response = response
@@ -222,6 +229,18 @@
 	c.room.Signal()
 }
 
+// handle calls the handler. A panic ends only its request: the node carries many
+// others. What had been done for it is unknown.
+func (c *serverConn) handle(r *Request) (response *Response) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.server.log.Error().Interface("panic", p).Str("target", r.Target).Bytes("stack", debug.Stack()).Msg("handler panicked")
+			response = &Response{Status: http.StatusBadGateway, Header: http.Header{}, Close: true}
+		}
+	}()
+	return c.server.handler.Serve(c.ctx, r)
+}
+
 // write sends the oldest response. The caller holds the lock.
 func (c *serverConn) write(e *exchange) {
 	if c.closing {
@@ -264,6 +283,8 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errTooLarge):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		status = http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 	case isNetError(err):
 	default:
@@ -274,12 +295,16 @@
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.queue) == 0 && !c.closing {
+	answered := len(c.queue) == 0 && !c.closing
+	if answered {
 		e := &exchange{closing: true, response: &Response{Status: status, Header: http.Header{}}}
 		c.queue = append(c.queue, e)
 		c.write(e)
 	}
+	c.mu.Unlock()
+	if answered {
+		c.linger()
+	}
 }
 
 // finishClosed keeps a connection whose write side was closed by a response
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -59,8 +59,9 @@
 	refusals tally.Counter
 	runs     tally.Counter
 
-	mu      sync.Mutex
-	current *instance
+	mu         sync.Mutex
+	current    *instance
+	drainLimit time.Duration
 }
 
 // instance is one incarnation of the upstream.
@@ -77,9 +78,10 @@
 // NewUpstream returns an upstream that has not announced itself.
 func NewUpstream(config UpstreamConfig) *Upstream {
 	return &Upstream{
-		config:   config,
-		refusals: config.Scope.Counter("upstream_refusals"),
-		runs:     config.Scope.Counter("upstream_runs"),
+		config:     config,
+		drainLimit: config.DrainLimit,
+		refusals:   config.Scope.Counter("upstream_refusals"),
+		runs:       config.Scope.Counter("upstream_runs"),
 	}
 }
 
@@ -160,12 +162,26 @@
 		return nil, resultcode.New(resultcode.NoInstance, "instance %q is not here, %q is", id, c.ID)
 	case c.lost:
 		return nil, resultcode.New(resultcode.UpstreamUnreachable, "instance %q does not take connections", id)
-	case !c.drained.IsZero() && now.Sub(c.drained) >= u.config.DrainLimit:
-		return nil, resultcode.New(resultcode.Draining, "instance %q drains since %s", id, now.Sub(c.drained))
+	case !c.drained.IsZero() && elapsed(c.drained, now) >= u.drainLimit:
+		return nil, resultcode.New(resultcode.Draining, "instance %q drains since %s", id, elapsed(c.drained, now))
 	}
 	return c, nil
 }
 
+// elapsed is the longer of the times that the steady clock and the time of day
+// show: the steady clock stands still while the machine is suspended.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
+// SetDrainLimit replaces the time during which an upstream that drains still gets
+// calls.
+func (u *Upstream) SetDrainLimit(limit time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.drainLimit = limit
+}
+
 // Serve passes a call of another node to the upstream.
 func (u *Upstream) Serve(ctx context.Context, r *h1.Request) *h1.Response {
 	p, err := decodeHop(r.Header)
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -32,6 +32,9 @@
 	// memoryPart is the part of the memory limit that the Go heap may use; the
 	// rest is for buffers of the kernel and stacks.
 	memoryPart = 0.5
+	// bodyPart is the part of the memory limit that request bodies may fill at each
+	// of the two listeners.
+	bodyPart = 0.15
 	// gcPercent trades memory, of which there is plenty, for processor time.
 	gcPercent = 200
 	// instancesWait is how long a node waits after its start for instances of all
@@ -66,6 +69,14 @@
 	RepeatWindow             time.Duration
 }
 
+func (b Bounds) budget() budget.Bounds {
+	return budget.Bounds{Ratio: b.RepeatRatio, Slack: b.RepeatSlack, Window: b.RepeatWindow}
+}
+
+func (b Bounds) drainLimit() time.Duration {
+	return time.Duration(drainPart * float64(b.Drain))
+}
+
 // Config holds what a Node needs.
 type Config struct {
 	IP, Region, FailureDomain, Service string
@@ -139,7 +150,7 @@
 	n.document = gossip.NewDocument(c.DecodeRoutes, c.Log)
 	n.links = mesh.NewLinks()
 	n.instances = mesh.NewInstances(c.Region, c.FailureDomain, n.directory, values)
-	n.budget = budget.New(budget.Bounds{Ratio: c.Bounds.RepeatRatio, Slack: c.Bounds.RepeatSlack, Window: c.Bounds.RepeatWindow})
+	n.budget = budget.New(c.Bounds.budget())
 	n.gossiper = gossip.New(gossip.Config{
 		Directory: n.directory, Document: n.document, Sender: n.links, Seeds: c.Seeds,
 		Removed: func(node string) { go n.syncer.Remove(context.Background(), node) }, Log: c.Log, Scope: scope,
@@ -150,7 +161,7 @@
 	})
 	running := mesh.NewRunning()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
-		Protocol: c.Protocol, Running: running, DrainLimit: time.Duration(drainPart * float64(c.Bounds.Drain)),
+		Protocol: c.Protocol, Running: running, DrainLimit: c.Bounds.drainLimit(),
 		Values: values, Lost: n.lostUpstream, Log: c.Log, Scope: scope,
 	})
 	caller := mesh.NewCaller(mesh.CallerConfig{
@@ -165,10 +176,12 @@
 }
 
 func (n *Node) limits() h1.Limits {
+	limits := routing.DefaultLimits()
 	if table := n.document.Table(); table != nil {
-		return table.Limits
+		limits = table.Limits
 	}
-	return routing.DefaultLimits()
+	limits.MaxBufferedBytes = int64(bodyPart * float64(n.config.MemoryMiB<<20))
+	return limits
 }
 
 // Start serves calls and follows the store until ctx ends.
@@ -240,6 +253,12 @@
 	return s
 }
 
+// SetBounds puts changed bounds of the operators in force.
+func (n *Node) SetBounds(b Bounds) {
+	n.budget.SetBounds(b.budget())
+	n.upstream.SetDrainLimit(b.drainLimit())
+}
+
 // directoryChanged passes news on.
 func (n *Node) directoryChanged(news []directory.Entry) {
 	n.instances.Update(time.Now())
