--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,8 +29,37 @@
 }
 
 // New returns a logger of lines with a timestamp. Warnings and errors are always
-// written; of the lines of level info at most linesPerSecond in each second.
+// written; of the lines of level info at most linesPerSecond in each second. The
+// first line of a second says how many were left out before.
 func New(w io.Writer) zerolog.Logger {
-	sampler := &zerolog.LevelSampler{InfoSampler: &zerolog.BurstSampler{Burst: linesPerSecond, Period: time.Second}}
-	return zerolog.New(w).With().Timestamp().Logger().Sample(sampler)
+	plain := zerolog.New(w).With().Timestamp().Logger()
+	return plain.Sample(&zerolog.LevelSampler{InfoSampler: &boundedSampler{report: plain}})
+}
+
+// boundedSampler lets a number of lines pass each second and counts the others.
+type boundedSampler struct {
+	report zerolog.Logger
+
+	mu      sync.Mutex
+	second  time.Time
+	lines   int
+	dropped int
+}
+
+// Sample implements zerolog.Sampler.
+func (s *boundedSampler) Sample(zerolog.Level) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.second) >= time.Second {
+		if s.dropped > 0 {
+			s.report.Warn().Int("lines", s.dropped).Msg("log lines left out, more than the bound in a second")
+		}
+		s.second, s.lines, s.dropped = now, 0, 0
+	}
+	if s.lines >= linesPerSecond {
+		s.dropped++
+		return false
+	}
+	s.lines++
+	return true
 }
