--- a/internal/client/docs_test.go
+++ b/internal/client/docs_test.go
@@ -72,7 +72,7 @@
 // Guards against commands in the documents that the client does not understand.
 func TestCommandsInDocuments(t *testing.T) {
 	count := 0
-	for _, name := range []string{"README.md", "docs/settings.md", "docs/operations.md", "docs/result-codes.md", "docs/glossary.md"} {
+	for _, name := range []string{"README.md", "docs/settings.md", "docs/OPERATIONS.md", "docs/result-codes.md", "docs/glossary.md"} {
 		for line := range strings.Lines(page(t, name)) {
 			line = strings.TrimSpace(line)
 			if !strings.HasPrefix(line, "mustardwing ") {
