A stopped node takes no calls from outside after its notice

Ruled out: closing the listener, since the worker's own calls arrive there. Test: TestClosedCallerTakesOnlyNestedCalls.

--- a/internal/mesh/caller.go
+++ b/internal/mesh/caller.go
@@ -47,6 +47,7 @@
 type Caller struct {
 	config  CallerConfig
 	turn    atomic.Uint64
+	closing atomic.Bool
 	calls   tally.Counter
 	repeats tally.Counter
 	moves   tally.Counter
@@ -72,6 +73,11 @@
 	return c
 }
 
+// Close refuses further calls from outside. Those of the upstream's runs go on.
+func (c *Caller) Close() {
+	c.closing.Store(true)
+}
+
 // Serve implements h1.Handler.
 func (c *Caller) Serve(ctx context.Context, r *h1.Request) *h1.Response {
 	c.calls.Inc(1)
@@ -85,7 +91,11 @@
 	if route == nil {
 		return c.refuse(r, info, nil, table.Version, resultcode.New(resultcode.UnknownService, "host %q and path %q match no route of version %d", r.Host, r.Target, table.Version))
 	}
-	response := c.start(r, info, route, table.Version).run(ctx)
+	o := c.start(r, info, route, table.Version)
+	if c.closing.Load() && o.parent == nil {
+		return c.refuse(r, info, route, table.Version, resultcode.New(resultcode.Draining, "this node shuts down"))
+	}
+	response := o.run(ctx)
 	c.latency.RecordDuration(time.Since(r.Arrived))
 	return response
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -268,3 +268,15 @@
 	_, failure := fresh.take(time.Now(), "i-0")
 	assert.Assert(t, failure != nil)
 }
+
+// Guards against a call that a node takes long after it was told to stop and that it
+// cuts off when it ends. Calls of runs that go on are still taken.
+func TestClosedCallerTakesOnlyNestedCalls(t *testing.T) {
+	w := &worker{handler: good}
+	c := newCluster(t, once(), w)
+	c.caller.Close()
+	assert.Equal(t, c.call(t.Context(), "a").Status, http.StatusServiceUnavailable)
+	assert.Equal(t, w.runs.Load(), int64(0))
+	c.caller.config.Running.add(&run{hop: hop{ID: "root"}, deadline: time.Now().Add(time.Second)})
+	assert.Equal(t, c.call(t.Context(), "root.1").Status, http.StatusOK)
+}
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -110,6 +110,7 @@
 	links     *mesh.Links
 	upstream  *mesh.Upstream
 	budget    *budget.Budget
+	caller    *mesh.Caller
 	callers   *h1.Server
 	peers     *h1.Server
 	listeners []net.Listener
@@ -164,11 +165,11 @@
 		Protocol: c.Protocol, Running: running, DrainLimit: c.Bounds.drainLimit(),
 		Values: values, Lost: n.lostUpstream, Log: c.Log, Scope: scope,
 	})
-	caller := mesh.NewCaller(mesh.CallerConfig{
+	n.caller = mesh.NewCaller(mesh.CallerConfig{
 		Service: c.Service, Running: running, Protocol: c.Protocol, Routes: n.document.Table,
 		Instances: n.instances, Links: n.links, Budget: n.budget, Log: c.Log, Scope: scope,
 	})
-	n.callers = h1.NewServer(caller, n.limits, c.Log)
+	n.callers = h1.NewServer(n.caller, n.limits, c.Log)
 	n.peers = h1.NewServer(h1.HandlerFunc(n.servePeer), func() h1.Limits { return mesh.PeerLimits(n.limits().MaxBodyBytes) }, c.Log)
 	n.directory.OnChange(n.directoryChanged)
 	n.directory.OnEarlier(n.adoptUpstream)
@@ -373,7 +374,12 @@
 	}
 	n.directory.UpdateSelf(func(e *directory.Entry) { e.Leaving = true })
 	for time.Now().Before(end) {
-		if time.Now().After(notice) && n.callers.InFlight() == 0 && n.peers.InFlight() == 0 {
+		over := time.Now().After(notice)
+		if over {
+			// What is taken later may not be finished when the node is killed.
+			n.caller.Close()
+		}
+		if over && n.callers.InFlight() == 0 && n.peers.InFlight() == 0 {
 			break
 		}
 		time.Sleep(settlePoll)
