--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -27,8 +27,6 @@
 	// exchangeTimeout bounds one exchange; it is far above a round trip between
 	// regions.
 	exchangeTimeout = 600 * time.Millisecond
-	// newsFanout is the number of nodes that are told of news at once.
-	newsFanout = 3
 	// maxMessageBytes bounds a message: the directory of a thousand nodes and a
 	// configuration of the largest stored size.
 	maxMessageBytes = 4 << 20
@@ -58,9 +56,10 @@
 	exchanges tally.Counter
 	failures  tally.Counter
 	news      chan struct{}
-	// turn and neighbour belong to Run.
+	// turn belongs to Run.
 	turn      int
 	neighbour neighbour
+	reach     reach
 	// lastExchange is when this node last heard from another one.
 	lastExchange atomic.Pointer[time.Time]
 
@@ -109,16 +108,16 @@
 		case <-g.news:
 			g.spreadNews(ctx)
 		case <-timer.C:
-			g.tick(ctx)
+			g.turn++
+			go g.tick(ctx, g.turn)
 			timer.Reset(g.pause())
 		}
 	}
 }
 
 // tick exchanges with the neighbour and with a random node by turns.
-func (g *Gossiper) tick(ctx context.Context) {
-	g.turn++
-	if next, ok := g.config.Directory.Successor(); ok && g.turn%2 == 0 {
+func (g *Gossiper) tick(ctx context.Context, turn int) {
+	if next, ok := g.config.Directory.Successor(); ok && turn%2 == 0 {
 		failed := !g.exchange(ctx, next.Address)
 		if ctx.Err() == nil && g.neighbour.observe(time.Now(), next.Node, next.Version, failed) {
 			g.config.Log.Warn().Str("entry", next.Node).Uint64("version", next.Version).Msg("node does not respond, entry removed")
@@ -149,18 +148,17 @@
 
 func (g *Gossiper) spreadNews(ctx context.Context) {
 	g.mu.Lock()
-	m := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
+	m := message{ConfigVersion: g.config.Document.Version(), News: true}
 	for _, e := range g.pending {
 		m.Entries = append(m.Entries, e)
 	}
 	clear(g.pending)
 	g.mu.Unlock()
-	for _, peer := range g.pick(newsFanout) {
+	for _, peer := range g.pick(g.reach.fanout()) {
 		go func() {
 			reply, err := g.send(ctx, peer, m)
 			if err == nil {
-				g.take(reply, peer)
-				g.sendWanted(ctx, peer, reply)
+				g.sendConfig(ctx, peer, reply)
 			}
 		}()
 	}
@@ -170,6 +168,9 @@
 // other node responded.
 func (g *Gossiper) exchange(ctx context.Context, peer string) bool {
 	reply, err := g.send(ctx, peer, message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()})
+	if ctx.Err() == nil {
+		g.reach.observe(err == nil)
+	}
 	if err != nil {
 		g.failures.Inc(1)
 		return false
@@ -181,6 +182,18 @@
 	return true
 }
 
+// sendConfig sends the configuration to a peer that has an older one.
+func (g *Gossiper) sendConfig(ctx context.Context, peer string, reply message) {
+	m := message{ConfigVersion: g.config.Document.Version(), News: true}
+	if reply.ConfigVersion >= m.ConfigVersion {
+		return
+	}
+	m.Config = g.config.Document.Raw()
+	if _, err := g.send(ctx, peer, m); err != nil {
+		g.failures.Inc(1)
+	}
+}
+
 // sendWanted sends what the reply shows that the peer lacks.
 func (g *Gossiper) sendWanted(ctx context.Context, peer string, reply message) {
 	m := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
@@ -235,6 +248,11 @@
 	return time.Time{}
 }
 
+// Reach returns the part of the other nodes that this one can exchange with now.
+func (g *Gossiper) Reach() float64 {
+	return g.reach.part()
+}
+
 // Serve takes a message of another node.
 func (g *Gossiper) Serve(_ context.Context, r *h1.Request) *h1.Response {
 	var m message
@@ -248,10 +266,10 @@
 	g.heard()
 	g.take(m, r.RemoteIP)
 	reply := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
-	if m.Digest != reply.Digest {
+	if !m.News && m.Digest != reply.Digest {
 		reply.Entries = g.config.Directory.All()
 	}
-	if m.ConfigVersion < reply.ConfigVersion {
+	if !m.News && m.ConfigVersion < reply.ConfigVersion {
 		reply.Config = g.config.Document.Raw()
 	}
 	body, err := json.Marshal(reply)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -173,3 +173,24 @@
 		}
 	})
 }
+
+// Guards against a part of the fleet that is cut off together and in which every
+// node takes the others for reachable: then too few of them ask the store.
+func TestReachFollowsACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		net, fleet := startFleet(ctx, 20)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, fleet[0].Reach() > 0.9)
+		for i := 5; i < 20; i++ {
+			net.setCut(fmt.Sprint("node-", i), true)
+		}
+		time.Sleep(10 * time.Second)
+		part := 0.0
+		for _, g := range fleet[:5] {
+			part += g.Reach() / 5
+		}
+		assert.Assert(t, part < 0.6, part)
+	})
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -14,6 +14,9 @@
 	// ConfigVersion and Digest say what the sender knows.
 	ConfigVersion uint64 `json:"config_version"`
 	Digest        uint64 `json:"digest"`
+	// News is set when the message only tells of changes: the receiver does not
+	// compare digests, since while changes spread no two are equal.
+	News bool `json:"news,omitempty"`
 	// Entries is set when the sender's directory may hold news for the receiver.
 	Entries []directory.Entry `json:"entries,omitempty"`
 	// Config is set when the sender's configuration is newer than the receiver's.
--- a/internal/gossip/neighbour.go
+++ b/internal/gossip/neighbour.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// deadAfter and deadFailures are how long and how often a neighbour must fail
@@ -12,6 +15,7 @@
 // neighbour is the node that this node watches for the fleet: its successor in
 // the order of the addresses.
 type neighbour struct {
+	mu       sync.Mutex
 	node     string
 	version  uint64
 	failures int
@@ -21,8 +25,10 @@
 // observe takes in one exchange with the neighbour and reports whether it counts
 // as dead now.
 func (n *neighbour) observe(now time.Time, node string, version uint64, failed bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.node != node || n.version != version || !failed {
-		*n = neighbour{node: node, version: version, since: now}
+		n.node, n.version, n.failures, n.since = node, version, 0, now
 	}
 	if !failed {
 		return false
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -18,7 +18,7 @@
 	queuedLines = 2000
 	// linesPerSecond bounds lines of level info, which requests cause. At a few
 	// hundred bytes a line it is some ten kilobytes a second.
-	linesPerSecond = 60
+	linesPerSecond = 30
 )
 
 // NewWriter returns a writer that queues lines for w. Close writes what is queued.
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -158,7 +158,7 @@
 	})
 	n.syncer = storesync.New(storesync.Config{
 		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document,
-		LastExchange: n.gossiper.LastExchange, Settings: n.settings, SettingsChanged: n.settingsChanged, Log: c.Log, Scope: scope,
+		LastExchange: n.gossiper.LastExchange, Reach: n.gossiper.Reach, Settings: n.settings, SettingsChanged: n.settingsChanged, Log: c.Log, Scope: scope,
 	})
 	running := mesh.NewRunning()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -29,12 +29,11 @@
 	// gatherPause is how long changes of the directory are gathered before the
 	// next watch: every watch is a call, and nodes tell each other news anyway.
 	gatherPause = 250 * time.Millisecond
-	// pollEvery is how often the whole fleet reads the configuration besides
-	// watching it, since a watch may hear nothing for seconds before it is cut.
-	// What one node reads the others learn from it, so each reads more rarely the
-	// more nodes there are. It is a fraction of the time in which a configuration
-	// must be in force.
-	pollEvery = 600 * time.Millisecond
+	// pollEvery is how often the nodes that reach each other together read the
+	// configuration besides watching it, since a watch may hear nothing for seconds
+	// before it is cut. It is a fraction of the time in which a configuration must
+	// be in force.
+	pollEvery = 400 * time.Millisecond
 	// removeTimeout bounds the removal of an entry, which takes two calls.
 	removeTimeout = 5 * time.Second
 	// relistAfter is the number of failed watches in a row after which the whole
@@ -60,7 +59,9 @@
 	Document  *gossip.Document
 	// LastExchange returns when this node last heard from another one.
 	LastExchange func() time.Time
-	Settings     *settings.Holder
+	// Reach returns the part of the other nodes that this one can exchange with.
+	Reach    func() float64
+	Settings *settings.Holder
 	// SettingsChanged is called after the settings tree has changed.
 	SettingsChanged func()
 	Log             zerolog.Logger
@@ -109,12 +110,14 @@
 	s.publish(ctx)
 }
 
-// poll reads the configuration from time to time.
+// poll reads the configuration from time to time. What one node reads the others
+// learn from it, so each reads more rarely the more nodes there are.
 func (s *Syncer) poll(ctx context.Context) {
 	for ctx.Err() == nil {
-		nodes := len(s.config.Directory.Peers()) + 1
-		pause := time.Duration(nodes) * pollEvery
-		sleep(ctx, pause*4/3)
+		sleep(ctx, pollEvery*4/3)
+		if rand.Float64() >= s.share(1) {
+			continue
+		}
 		s.calls.Inc(1)
 		o, err := s.config.Store.Get(ctx, s.config.Keys.Config)
 		if err != nil {
--- a/internal/storesync/watchers.go
+++ b/internal/storesync/watchers.go
@@ -22,7 +22,7 @@
 // watches reports whether this node watches a prefix: it is among the first nodes
 // in an order that differs for each prefix, or no other node can tell it news.
 func (s *Syncer) watches(prefix string) bool {
-	if time.Since(s.config.LastExchange()) > isolatedAfter {
+	if s.isolated() {
 		return true
 	}
 	self := s.config.Directory.Self().Node
@@ -33,7 +33,20 @@
 			before++
 		}
 	}
-	return before < watcherCount
+	return float64(before) < watcherCount/s.config.Reach()
+}
+
+func (s *Syncer) isolated() bool {
+	return time.Since(s.config.LastExchange()) > isolatedAfter
+}
+
+// share returns this node's part of work that count of the nodes that reach each
+// other have to do, one at most.
+func (s *Syncer) share(count float64) float64 {
+	if s.isolated() {
+		return 1
+	}
+	return min(1, count/(s.config.Reach()*float64(len(s.config.Directory.Peers())+1)))
 }
 
 // awaitRole returns once this node watches a prefix, and whether it had to wait,
