--- a/test/cmd/demo/main.go
+++ b/test/cmd/demo/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -83,14 +84,46 @@
 		{"explain", "-region", "ro", "-service", "search", "-kind", "promotion"},
 		{"status"},
 	}
+	if err := awaitReports(ctx, f); err != nil {
+		return err
+	}
 	for _, args := range commands {
 		fmt.Println("\n$ mustardwing", args)
-		cmd := exec.CommandContext(ctx, filepath.Join(f.BinDir, "mustardwing"), args...)
-		cmd.Env = append(os.Environ(), "MUSTARDWING_PLATFORM="+f.PlatformURL)
-		cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
-		if err := cmd.Run(); err != nil {
-			return errors.Wrapf(err, "mustardwing %v", args)
+		output, err := command(ctx, f, args...)
+		fmt.Print(output)
+		if err != nil {
+			return err
 		}
 	}
 	return nil
 }
+
+// reportWait is above the interval at which failure domains report.
+const reportWait = 15 * time.Second
+
+// awaitReports returns once a failure domain has reported, without which the
+// status shows nothing.
+func awaitReports(ctx context.Context, f *fleet.Fleet) error {
+	end := time.Now().Add(reportWait)
+	for {
+		output, err := command(ctx, f, "status")
+		if err != nil {
+			return err
+		}
+		if !strings.Contains(output, "no failure domain has reported yet") {
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.Errorf("no failure domain has reported within %s", reportWait)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// command runs the command-line client and returns what it prints.
+func command(ctx context.Context, f *fleet.Fleet, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, filepath.Join(f.BinDir, "mustardwing"), args...)
+	cmd.Env = append(os.Environ(), "MUSTARDWING_PLATFORM="+f.PlatformURL)
+	output, err := cmd.CombinedOutput()
+	return string(output), errors.Wrapf(err, "mustardwing %v", args)
+}
