Read-through: dead field, parameter and function removed; no hop built to pick

A contender kept its choice and the failure of a send its hop without use; a refused connection was cancelled twice, once by a function whose comment spoke of something else; picking an instance built a whole hop, with a clock read, for two fields that the call already holds. Behaviour as before.

--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -291,7 +291,6 @@
 		status = http.StatusBadRequest
 	}
 	if status == 0 {
-		c.finishClosed()
 		return
 	}
 	c.mu.Lock()
@@ -307,12 +306,6 @@
 	}
 }
 
-// finishClosed keeps a connection whose write side was closed by a response
-// until the caller has read it.
-func (c *serverConn) finishClosed() {
-	c.cancel()
-}
-
 func isNetError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op)
--- a/internal/mesh/hedge.go
+++ b/internal/mesh/hedge.go
@@ -38,7 +38,6 @@
 
 // contender is one of two tries that run side by side.
 type contender struct {
-	choice balancer.Choice
 	cancel context.CancelFunc
 }
 
@@ -92,7 +91,7 @@
 		b.Done(time.Now(), choice, a.feedback())
 		results <- outcome{contender: number, attempt: a}
 	}()
-	return contender{choice: choice, cancel: cancel}
+	return contender{cancel: cancel}
 }
 
 // pickHedge chooses the second instance. While the service has no room, a second
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -133,9 +133,8 @@
 	if b == nil {
 		return balancer.Choice{}, nil, resultcode.New(resultcode.NoInstance, "no instance of service %q is known", o.service)
 	}
-	p := o.hop()
 	request := balancer.PickRequest{
-		Kind: o.route.Name, Priority: p.Priority, Rank: p.Rank,
+		Kind: o.route.Name, Priority: o.priority, Rank: o.rank,
 		Exclude: append(avoid, o.tried...), LowestLevel: len(o.tried) > 0,
 	}
 	choice, err := b.Pick(now, request)
@@ -252,7 +251,7 @@
 }
 
 // worthRepeat reports whether another instance may succeed where this one's
-// upstream failed. It would meet the same refusals below.
+// upstream failed. After a refused call below it would meet the same refusals.
 func (o *outgoing) worthRepeat(a attempt) bool {
 	return o.route.Idempotent && a.response.Status >= 500 && a.response.Status != 504 && !a.verdict.RefusedBelow
 }
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -229,7 +229,7 @@
 	r.Once = !p.Idempotent
 	response, err := c.pool.Do(ctx, r, deadline)
 	if err != nil {
-		return nil, u.failed(c, p, err)
+		return nil, u.failed(c, err)
 	}
 	u.runs.Inc(1)
 	said := u.config.Protocol.DecodeVerdict(response)
@@ -247,7 +247,7 @@
 }
 
 // failed interprets an exchange without a response.
-func (u *Upstream) failed(c *instance, p hop, err error) verdict {
+func (u *Upstream) failed(c *instance, err error) verdict {
 	var failure *h1.SendError
 	if !errors.As(err, &failure) {
 		return verdict{Code: resultcode.Internal, Execution: resultcode.Unknown, Reached: true, Detail: err.Error()}
