membership: a dead member returns only in a new life

Ruled out: an expired tombstone (1.5 s, not 4 min) and a paused node.

Dead is now final within a life, the upper half of the version. A running process that learns of the verdict starts a new life, whatever the version of the verdict.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -280,6 +280,10 @@
 		return
 	}
 	switch {
+	case m.State == Dead && m.Life() >= c.self.Life():
+		c.stats.Refutations++
+		c.self.Version = (m.Life() + 1) << lifeShift
+		c.queue.push(c.self.ID)
 	case m.Version > c.self.Version:
 		c.self.Version = m.Version
 		c.raise()
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -42,7 +42,8 @@
 	ID string
 	// Incarnation is the start time of the process in unix nanoseconds.
 	Incarnation uint64
-	// Version is raised only by the member itself.
+	// Version is raised only by the member itself. Its upper half is the member's
+	// life, see Life.
 	Version               uint64
 	State                 State
 	Addresses             Addresses
@@ -50,6 +51,16 @@
 	Announcement
 }
 
+// lifeShift is the number of bits of a version below the life. A member that raised
+// its version a thousand times a second would need seven weeks to fill them.
+const lifeShift = 32
+
+// Life counts how often the process returned after it was taken for dead. Within one
+// life of an incarnation Dead is final.
+func (m *Member) Life() uint64 {
+	return m.Version >> lifeShift
+}
+
 // Event is a change of one member's record.
 type Event struct {
 	// Previous is nil for a member that was unknown before.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -11,8 +11,9 @@
 const maxNameBytes = 128
 
 // supersedes reports whether a replaces b, two records of the same ID. The order
-// is total for the records that occur: leaving is final within an incarnation,
-// and an observer's verdict holds until the member raises its version.
+// is total for the records that occur: leaving is final within an incarnation and
+// death within a life. A record that the member sent before it learned that it was
+// taken for dead does not end the verdict: the process may have ended since.
 func supersedes(a, b *Member) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
@@ -20,6 +21,12 @@
 	if (a.State == Left) != (b.State == Left) {
 		return a.State == Left
 	}
+	if a.Life() != b.Life() {
+		return a.Life() > b.Life()
+	}
+	if (a.State == Dead) != (b.State == Dead) {
+		return a.State == Dead
+	}
 	if a.Version != b.Version {
 		return a.Version > b.Version
 	}
--- /dev/null
+++ b/internal/membership/record_test.go
@@ -0,0 +1,58 @@
+package membership
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an ended process that comes back: a record that it sent before it
+// was taken for dead may arrive after the verdict.
+func TestDeadIsFinalWithinALife(t *testing.T) {
+	record := func(version uint64, state State) Member {
+		return Member{ID: "n", Incarnation: 7, Version: version, State: state}
+	}
+	dead, later := record(6, Dead), record(7, Suspect)
+	assert.Assert(t, !supersedes(&later, &dead))
+	assert.Assert(t, supersedes(&dead, &later))
+	back := record(1<<lifeShift, Alive)
+	assert.Assert(t, supersedes(&back, &dead))
+	left := record(6, Left)
+	assert.Assert(t, supersedes(&left, &back))
+}
+
+// Guards against an order in which three records beat each other in a circle, so
+// that tables never agree.
+func TestOrderOfRecordsIsTotal(t *testing.T) {
+	var all []Member
+	for _, incarnation := range []uint64{1, 2} {
+		for _, version := range []uint64{1, 2, 1 << lifeShift, 1<<lifeShift + 1} {
+			for state := Alive; state <= Left; state++ {
+				all = append(all, Member{ID: "n", Incarnation: incarnation, Version: version, State: state})
+			}
+		}
+	}
+	for i := range all {
+		for j := range all {
+			a, b := &all[i], &all[j]
+			assert.Equal(t, i != j, supersedes(a, b) || supersedes(b, a), "%+v %+v", a, b)
+			assert.Assert(t, !supersedes(a, b) || !supersedes(b, a))
+			for k := range all {
+				if supersedes(a, b) && supersedes(b, &all[k]) {
+					assert.Assert(t, supersedes(a, &all[k]), "%+v %+v %+v", a, b, all[k])
+				}
+			}
+		}
+	}
+}
+
+// Guards against a running process that stays dead for the others: it returns in a
+// new life although its version is above that of the verdict.
+func TestRunningMemberReturnsAfterAVerdict(t *testing.T) {
+	c := &core{self: Member{ID: "n", Incarnation: 7, Version: 9, State: Alive}, queue: newQueue()}
+	c.applySelf(c.lastInput, Member{ID: "n", Incarnation: 7, Version: 6, State: Dead})
+	assert.Equal(t, c.self.Life(), uint64(1))
+	assert.Assert(t, c.queue.has("n"))
+	c.applySelf(c.lastInput, Member{ID: "n", Incarnation: 7, Version: 8, State: Dead})
+	assert.Equal(t, c.self.Life(), uint64(1), "an old verdict starts no new life")
+}
