gossip: exchanges carry only what differs, peers are few and near

Cause: two nodes whose directories differ exchanged them whole, and while nodes start or change no two are equal; news went to three nodes chosen among all, and the connections to them were closed as idle before they were used again.

Now digests of buckets are compared first, then the versions of the buckets that differ, and only newer entries travel. A node exchanges with twelve usual peers that it ranks by hash, and one time in ten with any; two of the three nodes told of news are in the own failure domain. News of many nodes at a time is gathered for 20 ms, and more than 64 entries learned at once are not told on.

Tests: comparison evens out two directories with at most the changed entries, an exchange about one entry of 1,000 nodes stays under 8 KiB (it was the whole directory twice), usual peers are stable, news stays near.

--- /dev/null
+++ b/internal/directory/digest_test.go
@@ -0,0 +1,67 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against two directories that stay different after they were compared, and
+// against a comparison that carries entries which both have.
+func TestComparisonEvensOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := New(Entry{Node: "one", Address: "one:1"}, clock), New(Entry{Node: "two", Address: "two:1"}, clock)
+		var common []Entry
+		for i := range rapid.IntRange(0, 200).Draw(t, "common") {
+			common = append(common, entry(fmt.Sprint("n", i), 1, Ready))
+		}
+		for _, d := range []*Directory{one, two} {
+			d.Merge(common)
+		}
+		newer := 2
+		for _, d := range []*Directory{one, two} {
+			for range rapid.IntRange(0, 10).Draw(t, "changes") {
+				newer++
+				d.Merge([]Entry{entry(fmt.Sprint("n", rapid.IntRange(0, 220).Draw(t, "node")), uint64(newer), Gone)})
+			}
+		}
+		theirs := two.BucketDigests()
+		differing, versions := one.Versions(theirs)
+		entries, wanted := two.Compare(len(theirs), differing, versions)
+		assert.Assert(t, len(entries) <= 11 && len(wanted) <= 11, "%d and %d entries for at most 11 changes a side", len(entries), len(wanted))
+		one.Merge(entries)
+		two.Merge(one.Entries(wanted))
+		assert.Equal(t, one.Digest(), two.Digest())
+		assert.Equal(t, len(one.All()), len(two.All()))
+	})
+}
+
+// Guards against a panic on numbers from another node that are out of range.
+func TestComparisonWithNonsense(t *testing.T) {
+	d := New(Entry{Node: "self", Address: "self:1"}, clock)
+	for _, theirs := range [][]uint64{nil, make([]uint64, 3), make([]uint64, 2*maxBuckets)} {
+		differing, _ := d.Versions(theirs)
+		assert.Equal(t, len(differing), 0)
+	}
+	for _, count := range []int{-1, 0, 3, 2 * maxBuckets} {
+		newer, older := d.Compare(count, []int{0}, map[string]uint64{"a": 1})
+		assert.Equal(t, len(newer)+len(older), 0)
+	}
+	newer, older := d.Compare(4, []int{-1, 4, 9}, map[string]uint64{"a": 1})
+	assert.Equal(t, len(newer), 0)
+	assert.DeepEqual(t, older, []string{"a"})
+}
+
+// Guards against digests that drift from the entries after changes and removals.
+func TestDigestFollowsEntries(t *testing.T) {
+	d := New(Entry{Node: "self", Address: "self:1"}, clock)
+	before := d.Digest()
+	d.Merge([]Entry{entry("a", 5, Ready), entry("b", 5, Ready)})
+	d.Merge([]Entry{entry("a", 6, Draining)})
+	fresh := New(Entry{Node: "self", Address: "self:1"}, clock)
+	fresh.Merge([]Entry{entry("b", 5, Ready), entry("a", 6, Draining)})
+	assert.Equal(t, d.Digest(), fresh.Digest())
+	assert.Assert(t, d.Digest() != before)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,7 +4,6 @@
 package directory
 
 import (
-	"hash/fnv"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +21,7 @@
 	mu      sync.Mutex
 	self    Entry
 	entries map[string]Entry
+	buckets buckets
 	changed []func([]Entry)
 	earlier func(Entry)
 }
@@ -33,7 +33,9 @@
 func New(self Entry, now func() time.Time) *Directory {
 	self.Version = uint64(max(1, now().UnixMilli()))
 	self.Learned = now()
-	return &Directory{now: now, self: self, entries: map[string]Entry{self.Node: self}}
+	d := &Directory{now: now, self: self, entries: make(map[string]Entry)}
+	d.put(self)
+	return d
 }
 
 // OnChange registers a function that receives the entries that changed. It is
@@ -65,7 +67,7 @@
 	next.Version = d.self.Version + 1
 	next.Learned = d.now()
 	d.self = next
-	d.entries[next.Node] = next
+	d.put(next)
 	d.mu.Unlock()
 	d.notify([]Entry{next})
 	return next
@@ -101,7 +103,7 @@
 			continue
 		}
 		e.Learned = d.now()
-		d.entries[e.Node] = e
+		d.put(e)
 		news = append(news, e)
 	}
 	d.mu.Unlock()
@@ -122,10 +124,16 @@
 		return Entry{}, false
 	}
 	d.self.Version = e.Version + 1
-	d.entries[d.self.Node] = d.self
+	d.put(d.self)
 	return d.self, true
 }
 
+// put stores an entry. The caller holds the lock.
+func (d *Directory) put(e Entry) {
+	d.buckets.replace(d.entries[e.Node], e)
+	d.entries[e.Node] = e
+}
+
 func (d *Directory) notify(news []Entry) {
 	for _, f := range d.changed {
 		f(news)
@@ -144,7 +152,7 @@
 	e.Removed = true
 	e.Version++
 	e.Learned = d.now()
-	d.entries[node] = e
+	d.put(e)
 	d.forgetRemoved()
 	d.mu.Unlock()
 	d.notify([]Entry{e})
@@ -156,6 +164,7 @@
 func (d *Directory) forgetRemoved() {
 	for node, e := range d.entries {
 		if e.Removed && d.now().Sub(e.Learned) > removedRetention {
+			d.buckets.remove(e)
 			delete(d.entries, node)
 		}
 	}
@@ -212,34 +221,29 @@
 	return all
 }
 
-// Peers returns the addresses of the other nodes that were not removed.
-func (d *Directory) Peers() []string {
+// Others returns the entries of the other nodes that were not removed.
+func (d *Directory) Others() []Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var peers []string
+	var others []Entry
 	for _, e := range d.entries {
 		if e.Node != d.self.Node && !e.Removed {
-			peers = append(peers, e.Address)
+			others = append(others, e)
 		}
 	}
-	slices.Sort(peers)
-	return peers
+	return others
 }
 
-// Digest is equal for equal directories.
-func (d *Directory) Digest() uint64 {
+// Peers returns the addresses of the other nodes that were not removed.
+func (d *Directory) Peers() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var sum uint64
+	var peers []string
 	for _, e := range d.entries {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(e.Node))
-		var version [8]byte
-		for i := range version {
-			version[i] = byte(e.Version >> (8 * i))
+		if e.Node != d.self.Node && !e.Removed {
+			peers = append(peers, e.Address)
 		}
-		_, _ = h.Write(version[:])
-		sum ^= h.Sum64()
 	}
-	return sum
+	slices.Sort(peers)
+	return peers
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -27,6 +27,13 @@
 	// exchangeTimeout bounds one exchange; it is far above a round trip between
 	// regions.
 	exchangeTimeout = 600 * time.Millisecond
+	// newsGap is the least time between two rounds of news. A single change is told
+	// at once; when many nodes change at a time, their entries travel together.
+	newsGap = 20 * time.Millisecond
+	// maxRetold is the number of entries up to which news is passed on. A node that
+	// learns more at a time was behind the others, which know them already or find
+	// the difference in their next exchanges.
+	maxRetold = 64
 	// maxMessageBytes bounds a message: the directory of a thousand nodes and a
 	// configuration of the largest stored size.
 	maxMessageBytes = 4 << 20
@@ -60,6 +67,7 @@
 	turn      int
 	neighbour neighbour
 	reach     reach
+	peers     peers
 	// lastExchange is when this node last heard from another one.
 	lastExchange atomic.Pointer[time.Time]
 
@@ -75,12 +83,16 @@
 		failures:  config.Scope.Counter("gossip_failures"),
 		news:      make(chan struct{}, 1),
 		pending:   make(map[string]directory.Entry),
+		peers:     peers{directory: config.Directory, seeds: config.Seeds},
 	}
 	return g
 }
 
 // Tell passes news on to a few nodes at once.
 func (g *Gossiper) Tell(entries []directory.Entry) {
+	if len(entries) > maxRetold {
+		return
+	}
 	g.mu.Lock()
 	for _, e := range entries {
 		g.pending[e.Node] = e
@@ -101,12 +113,20 @@
 func (g *Gossiper) Run(ctx context.Context) {
 	timer := time.NewTimer(g.pause())
 	defer timer.Stop()
+	// news is nil during the gap after each round of news.
+	news := g.news
+	pause := time.NewTimer(newsGap)
+	defer pause.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.news:
+		case <-news:
 			g.spreadNews(ctx)
+			pause.Reset(newsGap)
+			news = nil
+		case <-pause.C:
+			news = g.news
 		case <-timer.C:
 			g.turn++
 			go g.tick(ctx, g.turn)
@@ -127,8 +147,8 @@
 		}
 		return
 	}
-	if peers := g.pick(1); len(peers) > 0 {
-		g.exchange(ctx, peers[0])
+	if peer, ok := g.peers.forExchange(time.Now()); ok {
+		g.exchange(ctx, peer)
 	}
 }
 
@@ -137,15 +157,6 @@
 	return interval/2 + rand.N(interval)
 }
 
-func (g *Gossiper) pick(n int) []string {
-	peers := g.config.Directory.Peers()
-	if len(peers) == 0 {
-		peers = append([]string(nil), g.config.Seeds...)
-	}
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(n, len(peers))]
-}
-
 func (g *Gossiper) spreadNews(ctx context.Context) {
 	g.mu.Lock()
 	m := message{ConfigVersion: g.config.Document.Version(), News: true}
@@ -154,7 +165,7 @@
 	}
 	clear(g.pending)
 	g.mu.Unlock()
-	for _, peer := range g.pick(g.reach.fanout()) {
+	for _, peer := range g.peers.forNews(time.Now(), g.reach.fanout()) {
 		go func() {
 			reply, err := g.send(ctx, peer, m)
 			if err == nil {
@@ -178,35 +189,42 @@
 	g.exchanges.Inc(1)
 	g.heard()
 	g.take(reply, peer)
-	g.sendWanted(ctx, peer, reply)
+	g.sendConfig(ctx, peer, reply)
+	g.compare(ctx, peer, reply.Buckets)
 	return true
 }
 
 // sendConfig sends the configuration to a peer that has an older one.
 func (g *Gossiper) sendConfig(ctx context.Context, peer string, reply message) {
-	m := message{ConfigVersion: g.config.Document.Version(), News: true}
-	if reply.ConfigVersion >= m.ConfigVersion {
+	own := g.config.Document.Version()
+	if reply.ConfigVersion >= own {
 		return
 	}
-	m.Config = g.config.Document.Raw()
-	if _, err := g.send(ctx, peer, m); err != nil {
-		g.failures.Inc(1)
-	}
+	g.sendNews(ctx, peer, message{ConfigVersion: own, News: true, Config: g.config.Document.Raw()})
 }
 
-// sendWanted sends what the reply shows that the peer lacks.
-func (g *Gossiper) sendWanted(ctx context.Context, peer string, reply message) {
-	m := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
-	if len(reply.Entries) > 0 && reply.Digest != m.Digest {
-		m.Entries = g.config.Directory.All()
+// compare finds the entries in which the directories of both nodes differ, from the
+// digests that the peer sent, and gives each side what it lacks.
+func (g *Gossiper) compare(ctx context.Context, peer string, theirs []uint64) {
+	differing, versions := g.config.Directory.Versions(theirs)
+	if len(differing) == 0 {
+		return
 	}
-	if reply.ConfigVersion < m.ConfigVersion {
-		m.Config = g.config.Document.Raw()
+	question := comparison{Buckets: len(theirs), Differing: differing, Versions: versions}
+	reply, err := g.send(ctx, peer, message{ConfigVersion: g.config.Document.Version(), Compare: &question})
+	if err != nil {
+		g.failures.Inc(1)
+		return
 	}
-	if m.Entries != nil || m.Config != nil {
-		if _, err := g.send(ctx, peer, m); err != nil {
-			g.failures.Inc(1)
-		}
+	g.take(reply, peer)
+	if entries := g.config.Directory.Entries(reply.Wanted); len(entries) > 0 {
+		g.sendNews(ctx, peer, message{ConfigVersion: g.config.Document.Version(), News: true, Entries: entries})
+	}
+}
+
+func (g *Gossiper) sendNews(ctx context.Context, peer string, m message) {
+	if _, err := g.send(ctx, peer, m); err != nil {
+		g.failures.Inc(1)
 	}
 }
 
@@ -266,8 +284,11 @@
 	g.heard()
 	g.take(m, r.RemoteIP)
 	reply := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
-	if !m.News && m.Digest != reply.Digest {
-		reply.Entries = g.config.Directory.All()
+	switch {
+	case m.Compare != nil:
+		reply.Entries, reply.Wanted = g.config.Directory.Compare(m.Compare.Buckets, m.Compare.Differing, m.Compare.Versions)
+	case !m.News && m.Digest != reply.Digest:
+		reply.Buckets = g.config.Directory.BucketDigests()
 	}
 	if !m.News && m.ConfigVersion < reply.ConfigVersion {
 		reply.Config = g.config.Document.Raw()
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -147,6 +147,46 @@
 	})
 }
 
+// meter counts the bytes of requests and responses.
+type meter struct {
+	port
+	bytes int
+}
+
+func (m *meter) Exchange(ctx context.Context, address string, r *h1.Request, deadline time.Time) (*h1.Response, error) {
+	response, err := m.port.Exchange(ctx, address, r, deadline)
+	m.bytes += len(r.Body)
+	if response != nil {
+		m.bytes += len(response.Body)
+	}
+	return response, err
+}
+
+// Guards against exchanges that grow with the fleet: two directories of 1,000 nodes
+// that differ in one entry are evened out by a few kilobytes.
+func TestExchangeCarriesOnlyDifferences(t *testing.T) {
+	net := &network{nodes: map[string]*Gossiper{}, cut: map[string]bool{}}
+	var pair []*Gossiper
+	for i := range 2 {
+		address := fmt.Sprint("node-", i)
+		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
+		g := New(Config{
+			Directory: d, Document: NewDocument(decodeNumber, zerolog.Nop()), Sender: &meter{port: port{net, address}},
+			Removed: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		})
+		addNodes(d, 2, 1000)
+		net.nodes[address] = g
+		pair = append(pair, g)
+	}
+	assert.Assert(t, pair[0].exchange(t.Context(), "node-1"))
+	sender := pair[0].config.Sender.(*meter)
+	sender.bytes = 0
+	pair[1].config.Directory.Merge([]directory.Entry{{Node: "node-7", Version: 2, Address: "node-7", Leaving: true}})
+	assert.Assert(t, pair[0].exchange(t.Context(), "node-1"))
+	assert.Equal(t, pair[0].config.Directory.Digest(), pair[1].config.Directory.Digest())
+	assert.Assert(t, sender.bytes < 8<<10, "%d bytes for one entry", sender.bytes)
+}
+
 // Guards against a configuration that goes back, and against one that cannot be
 // read and replaces the one in force.
 func TestDocumentVersionOnlyRises(t *testing.T) {
