membershiptest: packets travel in goroutines, not in timers' functions

The traces of all three end in synctest.Run while it runs the bubble's timers on the system stack; the PC lies in the detector's StackDepot::Put, which records the stack of a goroutine that a timer starts, and the address read is the first byte after a mapping. So a goroutine started by a timer of a bubble inherits the system stack's trace, which the detector reads beyond its end. Ruled out: a race or a failed assertion in our code (none reported in any of the crashes). The network of the tests started one goroutine per packet this way.

--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -162,6 +162,7 @@
 	for _, h := range f.hosts {
 		f.stop(h, membership.Dead)
 	}
+	f.net.Wait()
 }
 
 // disagreement returns the first difference between a view and the truth, or "".
--- a/internal/membership/membershiptest/network.go
+++ b/internal/membership/membershiptest/network.go
@@ -33,6 +33,13 @@
 	paused    map[string]chan struct{}
 	// RPCs counts calls by method name.
 	rpcs map[string]int
+	// travelling are the packets on their way.
+	travelling sync.WaitGroup
+}
+
+// Wait returns when no packet is on its way any more. The nodes have to be closed.
+func (n *Network) Wait() {
+	n.travelling.Wait()
 }
 
 type served struct {
@@ -152,7 +159,11 @@
 			n.deliver(to, datagram)
 			continue
 		}
-		time.AfterFunc(n.delay(), func() {
+		delay := n.delay()
+		// Not time.AfterFunc: in go1.26.8 the race detector crashes now and then when
+		// a timer of a synctest bubble starts a goroutine.
+		n.travelling.Go(func() {
+			time.Sleep(delay)
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.deliver(to, datagram)
--- a/internal/settingsync/harness_test.go
+++ b/internal/settingsync/harness_test.go
@@ -134,6 +134,7 @@
 	for _, n := range f.nodes {
 		f.stop(n)
 	}
+	f.net.Wait()
 }
 
 // put writes one scope and returns its revision.
