--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -25,8 +25,8 @@
 	setAside   int
 	evaluated  time.Time
 	roundRobin uint64
-	// admitting, ramping and near are scratch space of pick.
-	admitting, ramping, near []*instanceState
+	// admitting, ramping, near and sound are scratch space of pick.
+	admitting, ramping, near, sound []*instanceState
 }
 
 func newCore(config Config, random *rand.Rand) *core {
@@ -106,12 +106,15 @@
 		return c.choose(now, r, lowest, false), nil
 	}
 	if r.LowestLevel {
+		if sound := c.reliableFor(now, r, c.admitting); len(sound) > 0 {
+			c.admitting = append(c.admitting[:0], sound...)
+		}
 		return c.choose(now, r, c.lowestLevel(now), false), nil
 	}
 	if s := c.probeTarget(now, r); s != nil {
 		return c.choose(now, r, s, true), nil
 	}
-	return c.choose(now, r, c.cheaper(now), false), nil
+	return c.choose(now, r, c.cheaper(now, r), false), nil
 }
 
 // collect fills admitting with the candidates that are not known to shed the
@@ -162,7 +165,7 @@
 // cheaper compares two random candidates. Instances set aside are left out, and
 // those that ramp up are considered in proportion to their share, as long as
 // others remain.
-func (c *core) cheaper(now time.Time) *instanceState {
+func (c *core) cheaper(now time.Time, r PickRequest) *instanceState {
 	c.ramping = c.ramping[:0]
 	usable := 0
 	for _, s := range c.admitting {
@@ -184,6 +187,9 @@
 		// Only stragglers admit the call.
 		candidates = c.admitting
 	}
+	if sound := c.reliableFor(now, r, candidates); len(sound) > 0 {
+		candidates = sound
+	}
 	if local := c.withRoom(now, candidates); len(local) > 0 {
 		candidates = local
 	}
@@ -271,6 +277,9 @@
 	if f.Load != nil {
 		s.reported(now, *f.Load)
 	}
+	if lost, known := lostAnswer(f); known {
+		s.losses.observe(now, lost)
+	}
 	kind := c.kinds.get(now, choice.Kind)
 	ratio, ok := latencyRatio(kind, f)
 	if ok {
--- a/internal/balancer/instance_state.go
+++ b/internal/balancer/instance_state.go
@@ -56,6 +56,8 @@
 	ratioAt time.Time
 	samples int
 
+	losses losses
+
 	setAside bool
 	// probedAt and picksSinceProbe pace the probes of an instance set aside;
 	// goodProbes counts those in a row that were fast.
--- a/internal/balancer/stragglers.go
+++ b/internal/balancer/stragglers.go
@@ -109,14 +109,14 @@
 }
 
 // probeTarget returns a straggler that admits the call and whose probe is due.
-// A probe may be slow, so critical calls serve as one only when the probe is
-// overdue.
+// A probe may be slow or fail, so critical calls and those that are not repeated
+// serve as one only when the probe is overdue.
 func (c *core) probeTarget(now time.Time, r PickRequest) *instanceState {
 	if c.setAside == 0 || r.Hedge || len(r.Exclude) > 0 {
 		return nil
 	}
 	for _, s := range c.admitting {
-		if s.setAside && s.probeDue(now, r.Priority) {
+		if s.setAside && s.probeDue(now, r.Priority, r.Once) {
 			s.probedAt = now
 			s.picksSinceProbe = 0
 			return s
@@ -125,13 +125,13 @@
 	return nil
 }
 
-func (s *instanceState) probeDue(now time.Time, p call.Priority) bool {
+func (s *instanceState) probeDue(now time.Time, p call.Priority, once bool) bool {
 	s.picksSinceProbe++
 	if s.probing > 0 {
 		return false
 	}
 	elapsed := now.Sub(s.probedAt)
-	if p >= call.Critical {
+	if p >= call.Critical || once {
 		return elapsed >= 2*probeMaxInterval
 	}
 	picks := probePicks
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -135,7 +135,7 @@
 	}
 	request := balancer.PickRequest{
 		Kind: o.route.Name, Priority: o.priority, Rank: o.rank,
-		Exclude: append(avoid, o.tried...), LowestLevel: len(o.tried) > 0,
+		Exclude: append(avoid, o.tried...), LowestLevel: len(o.tried) > 0, Once: !o.route.Idempotent,
 	}
 	choice, err := b.Pick(now, request)
 	if err != nil && o.reached > 0 && resultcode.From(err).Code == resultcode.NoInstance {
@@ -240,7 +240,7 @@
 func (a attempt) feedback() balancer.Feedback {
 	return balancer.Feedback{
 		Latency: a.latency, Code: a.verdict.Code, Execution: a.verdict.Execution,
-		Failed: a.verdict.Code != resultcode.OK || a.response.Status >= 500, Load: a.verdict.Load,
+		Failed: a.verdict.Code != resultcode.OK || a.response.Status >= 500, FailedBelow: a.verdict.RefusedBelow || a.verdict.ShedBelow, Load: a.verdict.Load,
 	}
 }
 
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -102,7 +102,7 @@
 func (c *Call) pick(hedge bool) (balancer.Choice, error) {
 	return c.balancer.Pick(c.router.config.Now(), balancer.PickRequest{
 		Kind: c.metadata.Kind, Priority: c.metadata.Priority, Rank: c.metadata.Rank(),
-		Exclude: c.excluded, LowestLevel: c.lowest, Hedge: hedge,
+		Exclude: c.excluded, LowestLevel: c.lowest, Once: !c.metadata.Idempotent, Hedge: hedge,
 	})
 }
 
