gossip: compressed messages; nodes that start together leave the seeds soon

The choice of peers is renewed every 20 ms while few nodes are known, entries of a comparison are given in random order so that those who start learn of different nodes, and messages from 512 bytes on are compressed (the entries repeat names and addresses).

--- a/internal/directory/digest.go
+++ b/internal/directory/digest.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -94,7 +95,7 @@
 }
 
 // Compare returns the entries of the given buckets that are newer than the versions
-// another node has, and the addresses of those that are older.
+// another node has, in random order, and the addresses of those that are older.
 func (d *Directory) Compare(count int, differing []int, versions map[string]uint64) (newer []Entry, older []string) {
 	if !validCount(count) {
 		return nil, nil
@@ -117,6 +118,7 @@
 		}
 	}
 	slices.Sort(older)
+	rand.Shuffle(len(newer), func(i, j int) { newer[i], newer[j] = newer[j], newer[i] })
 	return newer, older
 }
 
--- /dev/null
+++ b/internal/gossip/codec_test.go
@@ -0,0 +1,63 @@
+package gossip
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/directory"
+)
+
+// Guards against a message that changes on the way, and against large ones that
+// travel uncompressed.
+func TestMessagesSurviveTheCodec(t *testing.T) {
+	for _, count := range []int{0, 1, 300} {
+		m := message{ConfigVersion: 7, Digest: 9, Buckets: []uint64{1, 1 << 63}}
+		for i := range count {
+			m.Entries = append(m.Entries, directory.Entry{Node: fmt.Sprint("10.0.0.", i), Version: uint64(i), Address: fmt.Sprint("10.0.0.", i, ":8701"), Region: "ro", FailureDomain: "ro-a"})
+		}
+		body, header, err := encode(m)
+		assert.NilError(t, err)
+		assert.Assert(t, len(body) < 512+20*count, "%d bytes for %d entries", len(body), count)
+		back, err := decode(header, body)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, back, m)
+	}
+}
+
+// Guards against a small body that unpacks to more than a node can hold.
+func TestUnpackedMessageIsBounded(t *testing.T) {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	_, err := w.Write(bytes.Repeat([]byte(" "), maxMessageBytes+1))
+	assert.NilError(t, err)
+	assert.NilError(t, w.Close())
+	_, err = decode(http.Header{"Content-Encoding": {"gzip"}}, packed.Bytes())
+	assert.ErrorContains(t, err, "exceeds")
+	_, err = decode(http.Header{"Content-Encoding": {"gzip"}}, []byte("nonsense"))
+	assert.ErrorContains(t, err, "compressed message")
+}
+
+func FuzzDecode(f *testing.F) {
+	body, _, err := encode(message{Digest: 3})
+	assert.NilError(f, err)
+	f.Add(body, false)
+	f.Fuzz(func(t *testing.T, body []byte, packed bool) {
+		header := http.Header{}
+		if packed {
+			header.Set(headerEncoding, encodingGzip)
+		}
+		m, err := decode(header, body)
+		if err != nil {
+			return
+		}
+		again, header, err := encode(m)
+		assert.NilError(t, err)
+		_, err = decode(header, again)
+		assert.NilError(t, err)
+	})
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -259,17 +258,16 @@
 }
 
 func (g *Gossiper) send(ctx context.Context, peer string, m message) (message, error) {
-	body, err := json.Marshal(m)
+	body, header, err := encode(m)
 	if err != nil {
 		return message{}, err
 	}
-	r := &h1.Request{Method: http.MethodPost, Target: Path, Host: peer, Header: http.Header{}, Body: body}
+	r := &h1.Request{Method: http.MethodPost, Target: Path, Host: peer, Header: header, Body: body}
 	response, err := g.config.Sender.Exchange(ctx, peer, r, time.Now().Add(exchangeTimeout))
 	if err != nil {
 		return message{}, err
 	}
-	var reply message
-	return reply, json.Unmarshal(response.Body, &reply)
+	return decode(response.Header, response.Body)
 }
 
 // take merges what another node sent.
@@ -303,11 +301,8 @@
 
 // Serve takes a message of another node.
 func (g *Gossiper) Serve(_ context.Context, r *h1.Request) *h1.Response {
-	var m message
-	if len(r.Body) > maxMessageBytes {
-		return &h1.Response{Status: http.StatusRequestEntityTooLarge, Header: http.Header{}}
-	}
-	if err := json.Unmarshal(r.Body, &m); err != nil {
+	m, err := decode(r.Header, r.Body)
+	if err != nil {
 		g.config.Log.Warn().Err(err).Str("from", r.RemoteIP).Msg("gossip message not readable")
 		return &h1.Response{Status: http.StatusBadRequest, Header: http.Header{}}
 	}
@@ -326,10 +321,10 @@
 	if !m.News && m.ConfigVersion < reply.ConfigVersion {
 		reply.Config = g.config.Document.Raw()
 	}
-	body, err := json.Marshal(reply)
+	body, header, err := encode(reply)
 	if err != nil {
 		g.config.Log.Error().Err(err).Msg("gossip reply not encoded")
 		return &h1.Response{Status: http.StatusInternalServerError, Header: http.Header{}}
 	}
-	return &h1.Response{Status: http.StatusOK, Header: http.Header{}, Body: body}
+	return &h1.Response{Status: http.StatusOK, Header: header, Body: body}
 }
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -27,6 +27,9 @@
 	strangerPart = 0.1
 	// peersRefresh is how long a choice holds while the directory changes.
 	peersRefresh = time.Second
+	// firstRefresh is that time while few nodes are known: those that start together
+	// would all go on asking the seeds.
+	firstRefresh = 20 * time.Millisecond
 )
 
 // peers chooses the nodes that this one talks to. The choice is stable: a change of
@@ -37,8 +40,6 @@
 
 	mu     sync.Mutex
 	chosen time.Time
-	// known is set once the directory lists another node.
-	known bool
 	// usual are among all nodes, near in the own failure domain, all is every node.
 	usual, near, all []string
 }
@@ -71,7 +72,8 @@
 
 // refresh renews the choice when it is old or empty. The caller holds the lock.
 func (p *peers) refresh(now time.Time) {
-	if p.known && now.Sub(p.chosen) < peersRefresh {
+	age := now.Sub(p.chosen)
+	if age < peersRefresh && (len(p.all) >= 2*peerCount || age < firstRefresh) {
 		return
 	}
 	p.chosen = now
@@ -83,8 +85,8 @@
 			near = append(near, e.Address)
 		}
 	}
-	p.known = len(all) > 0
-	if !p.known {
+	if len(all) == 0 {
+		// Nothing but the seeds is known yet.
 		all = slices.Clone(p.seeds)
 	}
 	p.all = all
