balancer, mesh: repeatable calls avoid lossy instances too; the budget is spent at the leaf

Every try was logged in a scratch copy: 836 leaf calls failed for want of budget while 133 calls above were repeated, each of which charges its five to ten calls below to the same budget.

--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -25,6 +25,8 @@
 	setAside   int
 	evaluated  time.Time
 	roundRobin uint64
+	// oncePart is the part of recent calls that are not repeated.
+	oncePart float64
 	// admitting, ramping, near and sound are scratch space of pick.
 	admitting, ramping, near, sound []*instanceState
 }
@@ -94,6 +96,7 @@
 		return c.pickInTurn(now, r)
 	}
 	c.evaluate(now)
+	c.countOnce(r.Once)
 	lowest := c.collect(now, r)
 	if lowest == nil {
 		return Choice{}, resultcode.New(resultcode.NoInstance, "no ready instance that was not tried")
@@ -106,7 +109,7 @@
 		return c.choose(now, r, lowest, false), nil
 	}
 	if r.LowestLevel {
-		if sound := c.reliableFor(now, r, c.admitting); len(sound) > 0 {
+		if sound := c.reliable(now, r, c.admitting); len(sound) > 0 {
 			c.admitting = append(c.admitting[:0], sound...)
 		}
 		return c.choose(now, r, c.lowestLevel(now), false), nil
@@ -187,7 +190,7 @@
 		// Only stragglers admit the call.
 		candidates = c.admitting
 	}
-	if sound := c.reliableFor(now, r, candidates); len(sound) > 0 {
+	if sound := c.reliable(now, r, candidates); len(sound) > 0 {
 		candidates = sound
 	}
 	if local := c.withRoom(now, candidates); len(local) > 0 {
--- a/internal/balancer/losses.go
+++ b/internal/balancer/losses.go
@@ -13,13 +13,19 @@
 	lossWeight = 0.02
 	// lossMemory is the time constant with which the share falls while the instance
 	// gets no calls, so that one that recovered is tried again.
-	lossMemory = 10 * time.Second
-	// lossMargin is the difference in the share that matters. One lost answer alone
-	// stays below it.
-	lossMargin = 0.025
+	lossMemory = 5 * time.Second
+	// onceMargin is the difference in the share that matters to a call that is not
+	// repeated; one lost answer alone stays below it. A call that may be repeated
+	// costs a part of the retry budget, which repeatMargin weighs against the queue
+	// at the reliable instances.
+	onceMargin   = 0.025
+	repeatMargin = 0.1
 	// reliableCost is the load in calls per slot up to which reliable instances take
 	// the calls of others: a queue there would turn calls away.
 	reliableCost = 0.8
+	// onceWeight is the weight of one more call in the part of calls that are not
+	// repeated.
+	onceWeight = 0.01
 )
 
 // losses estimates the share of attempts that an instance ran without a good answer.
@@ -58,35 +64,38 @@
 	return true, true
 }
 
-// reliableFor returns the candidates that a request is limited to, if any. A call
-// that may be repeated is not limited.
-func (c *core) reliableFor(now time.Time, r PickRequest, candidates []*instanceState) []*instanceState {
-	if !r.Once {
-		return nil
+// reliable returns the candidates with room that lose answers least often. It
+// returns none when all have about the same share of losses or none has room.
+func (c *core) reliable(now time.Time, r PickRequest, candidates []*instanceState) []*instanceState {
+	// Calls that may be repeated leave room for those that are not.
+	margin, room := repeatMargin, reliableCost*(1-2*c.oncePart)
+	if r.Once {
+		margin, room = onceMargin, reliableCost
 	}
-	return c.reliable(now, candidates)
-}
-
-// reliable returns the candidates with room that lose answers least often, for a
-// call that is not repeated when its answer is lost. It returns none when all have
-// the same share of losses or none has room.
-func (c *core) reliable(now time.Time, candidates []*instanceState) []*instanceState {
 	least, most := 1.0, 0.0
 	for _, s := range candidates {
 		share := s.losses.now(now)
 		most = max(most, share)
-		if s.cost(now) < reliableCost {
+		if s.cost(now) < room {
 			least = min(least, share)
 		}
 	}
-	if most < least+lossMargin {
-		return nil
-	}
 	c.sound = c.sound[:0]
+	if most < least+margin {
+		return c.sound
+	}
 	for _, s := range candidates {
-		if s.losses.now(now) < least+lossMargin && s.cost(now) < reliableCost {
+		if s.losses.now(now) < least+margin && s.cost(now) < room {
 			c.sound = append(c.sound, s)
 		}
 	}
 	return c.sound
 }
+
+func (c *core) countOnce(once bool) {
+	value := 0.0
+	if once {
+		value = 1
+	}
+	c.oncePart += onceWeight * (value - c.oncePart)
+}
--- a/internal/balancer/losses_test.go
+++ b/internal/balancer/losses_test.go
@@ -65,6 +65,18 @@
 	assert.Assert(t, counts["search-0"] > 700 && counts["search-1"] > 700, "%v", counts)
 }
 
+// Guards against a retry budget spent on instances that lose answers while others
+// have room, where more instances lose answers than may be set aside.
+func TestRepeatableCallsAvoidLosses(t *testing.T) {
+	c := newTestCore(1, 5)
+	now := start
+	respond := losing(1, 0.4, "search-0", "search-1", "search-3")
+	traffic(c, &now, 1000, respond)
+	counts := traffic(c, &now, 10000, respond)
+	lossy := counts["search-0"] + counts["search-1"] + counts["search-3"]
+	assert.Assert(t, lossy < 500, "%v", counts)
+}
+
 // Guards against a queue at the reliable instance: it takes the calls of others up to
 // a load of reliableCost, which is 28 of 35 slots, and the next one goes elsewhere.
 func TestReliableInstanceIsNotOverfilled(t *testing.T) {
@@ -99,5 +111,5 @@
 		choose(Feedback{Code: resultcode.Overloaded, Execution: resultcode.NotRun, Load: &admission.Load{Slots: 35}})
 		choose(Feedback{Code: resultcode.CallerGone, Execution: resultcode.Unknown})
 	}
-	assert.Equal(t, len(c.reliable(now, c.scope)), 0)
+	assert.Equal(t, len(c.reliable(now, PickRequest{Once: true}, c.scope)), 0)
 }
--- a/internal/mesh/hop.go
+++ b/internal/mesh/hop.go
@@ -94,7 +94,7 @@
 	Reached bool
 	// ShedBelow is set on a failure of the upstream whose cause is that a call
 	// below was refused for want of capacity or time, RefusedBelow when one was not
-	// run for whatever reason.
+	// run for whatever reason or not repeated for want of budget.
 	ShedBelow, RefusedBelow bool
 	Load                    *admission.Load
 	Detail                  string
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -60,6 +60,8 @@
 	// reached counts the upstreams that received the call, ran those that may have
 	// run it, moves the instances that did not pass it on.
 	reached, ran, moves int
+	// unpaid is set when the retry budget denied a repetition.
+	unpaid bool
 	// sheds counts the instances that refused for want of capacity or time.
 	sheds int
 	// mayHaveRun is the first failure after which the call may have run.
@@ -251,7 +253,9 @@
 }
 
 // worthRepeat reports whether another instance may succeed where this one's
-// upstream failed. After a refused call below it would meet the same refusals.
+// upstream failed. After a call below that was refused, or that the retry budget did
+// not let repeat, it would meet the same again, and all its calls below would be
+// charged to that budget.
 func (o *outgoing) worthRepeat(a attempt) bool {
 	return o.route.Idempotent && a.response.Status >= 500 && a.response.Status != 504 && !a.verdict.RefusedBelow
 }
@@ -275,6 +279,7 @@
 		return false
 	}
 	if !o.caller.config.Budget.Take(time.Now(), o.service, o.standing()) {
+		o.unpaid = true
 		return false
 	}
 	o.caller.repeats.Inc(1)
@@ -312,6 +317,9 @@
 
 // conclude responds to a call that no upstream has answered.
 func (o *outgoing) conclude(failure *resultcode.Error) *h1.Response {
+	if o.unpaid {
+		o.parent.childRefused()
+	}
 	if o.answered != nil {
 		return o.deliver(*o.answered)
 	}
--- a/internal/mesh/running.go
+++ b/internal/mesh/running.go
@@ -20,7 +20,8 @@
 	refusedBelow atomic.Bool
 }
 
-// childRefused notes that a call which the upstream made for this run was not run.
+// childRefused notes that a call which the upstream made for this run was not run, or
+// not repeated for want of budget.
 func (r *run) childRefused() {
 	if r != nil {
 		r.refusedBelow.Store(true)
