--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mustardwing/mustardwing/internal/budget"
 	"github.com/mustardwing/mustardwing/internal/h1"
 	"github.com/mustardwing/mustardwing/internal/routing"
 )
@@ -201,6 +202,17 @@
 	assert.Assert(t, forged.parent == nil)
 }
 
+// Guards against a run that is repeated although a call below it could not be, for
+// want of budget: all its calls below would be charged to the same budget.
+func TestDeniedRepetitionIsKnownAbove(t *testing.T) {
+	c := newCluster(t, idempotent(), &worker{handler: breaking}, &worker{handler: breaking})
+	parent := &run{hop: hop{ID: "root"}, deadline: time.Now().Add(time.Second)}
+	c.caller.config.Running.add(parent)
+	c.caller.config.Budget.SetBounds(budget.Bounds{Window: time.Second})
+	assert.Equal(t, c.call(t.Context(), "root.1").Status, http.StatusBadGateway)
+	assert.Assert(t, parent.refusedBelow.Load())
+}
+
 // Guards against a slow instance that decides the latency of an idempotent call.
 func TestSlowIdempotentCallIsHedged(t *testing.T) {
 	route := idempotent()
