--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -60,7 +60,7 @@
 	if err != nil || version == 0 {
 		return nil, errors.Errorf("version %q: want a number above zero", raw)
 	}
-	return routing.New(version, routing.DefaultLimits(), nil, nil), nil
+	return routing.New(version, routing.DefaultLimits(), nil), nil
 }
 
 func startFleet(ctx context.Context, n int) (*network, []*Gossiper) {
--- a/internal/mesh/harness_test.go
+++ b/internal/mesh/harness_test.go
@@ -35,7 +35,7 @@
 	return info
 }
 
-func (testProtocol) EncodeCall(h http.Header, _ string, info UpstreamInfo) {
+func (testProtocol) EncodeCall(h http.Header, info UpstreamInfo) {
 	h.Set("Test-Ms", strconv.FormatInt(info.Timeout.Milliseconds(), 10))
 	h.Set("Test-Instance", info.Instance)
 	h.Set("Test-Caller", info.Caller)
@@ -99,7 +99,7 @@
 	t.Helper()
 	route.Name, route.Host, route.Prefix = "kind", "h", "/r/"
 	route.Targets = []routing.Target{{Service: "s", Weight: 1}}
-	c := &cluster{t: t, upstreams: map[string]*Upstream{}, table: routing.New(1, routing.DefaultLimits(), nil, []*routing.Route{&route})}
+	c := &cluster{t: t, upstreams: map[string]*Upstream{}, table: routing.New(1, routing.DefaultLimits(), []*routing.Route{&route})}
 	c.directory = directory.New(directory.Entry{Node: "self", Address: "self"}, time.Now)
 	values := func(string) settings.Values { return settings.Defaults() }
 	c.instances = NewInstances("region", "domain", c.directory, values)
--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -55,9 +55,11 @@
 			continue
 		}
 		name := e.Upstream.Service
-		if !e.Serves() {
+		if _, ok := services[name]; !ok {
 			// A service stays known while all its instances are leaving.
-			services[name] = append(services[name], nil...)
+			services[name] = nil
+		}
+		if !e.Serves() {
 			continue
 		}
 		services[name] = append(services[name], balancer.Instance{
--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -42,7 +42,7 @@
 	// DecodeCall reads and removes what the caller says.
 	DecodeCall(h http.Header) CallInfo
 	// EncodeCall sets what the upstream expects.
-	EncodeCall(h http.Header, id string, info UpstreamInfo)
+	EncodeCall(h http.Header, info UpstreamInfo)
 	DecodeVerdict(r *h1.Response) UpstreamVerdict
 	// SameCall says whether an upstream's response belongs to a request.
 	SameCall(request *h1.Request, response *h1.Response) bool
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -225,7 +225,7 @@
 	if remaining < time.Millisecond {
 		return nil, verdict{Code: resultcode.DeadlineInsufficient, Execution: resultcode.NotRun, Detail: "no time is left after the queue"}
 	}
-	u.config.Protocol.EncodeCall(r.Header, p.ID, UpstreamInfo{Timeout: remaining, Instance: p.Instance, Caller: p.Caller})
+	u.config.Protocol.EncodeCall(r.Header, UpstreamInfo{Timeout: remaining, Instance: p.Instance, Caller: p.Caller})
 	r.Once = !p.Idempotent
 	response, err := c.pool.Do(ctx, r, deadline)
 	if err != nil {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -11,23 +11,16 @@
 	"github.com/mustardwing/mustardwing/internal/h1"
 )
 
-// Cluster is what the operators say about a service.
-type Cluster struct {
-	HealthPath     string
-	MaxConnections int
-}
-
 // Table is one version of the routes. It does not change after New.
 type Table struct {
-	Version  uint64
-	Limits   h1.Limits
-	Clusters map[string]Cluster
-	hosts    map[string][]*Route
+	Version uint64
+	Limits  h1.Limits
+	hosts   map[string][]*Route
 }
 
 // New returns a table of the routes.
-func New(version uint64, limits h1.Limits, clusters map[string]Cluster, routes []*Route) *Table {
-	t := &Table{Version: version, Limits: limits, Clusters: clusters, hosts: make(map[string][]*Route)}
+func New(version uint64, limits h1.Limits, routes []*Route) *Table {
+	t := &Table{Version: version, Limits: limits, hosts: make(map[string][]*Route)}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -13,7 +13,7 @@
 	short := &Route{Name: "short", Host: "a.example", Prefix: "/x/", Targets: []Target{{Service: "s", Weight: 1}}}
 	long := &Route{Name: "long", Host: "a.example", Prefix: "/x/y/", Targets: short.Targets}
 	other := &Route{Name: "other", Host: "b.example", Prefix: "/x/y/", Targets: short.Targets}
-	table := New(1, DefaultLimits(), nil, []*Route{short, other, long})
+	table := New(1, DefaultLimits(), []*Route{short, other, long})
 	for _, c := range []struct{ host, target, want string }{
 		{"a.example", "/x/y/z?q=/x/", "long"},
 		{"A.example:80", "/x/z", "short"},
