--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -22,8 +22,10 @@
 	self    Entry
 	entries map[string]Entry
 	buckets buckets
-	changed []func([]Entry)
-	earlier func(Entry)
+	// generation rises when a node comes, goes or changes its place.
+	generation uint64
+	changed    []func([]Entry)
+	earlier    func(Entry)
 }
 
 // New returns a directory that holds only the entry of this node. Now is the
@@ -130,7 +132,11 @@
 
 // put stores an entry. The caller holds the lock.
 func (d *Directory) put(e Entry) {
-	d.buckets.replace(d.entries[e.Node], e)
+	before := d.entries[e.Node]
+	d.buckets.replace(before, e)
+	if before.Address != e.Address || before.Removed != e.Removed || before.FailureDomain != e.FailureDomain {
+		d.generation++
+	}
 	d.entries[e.Node] = e
 }
 
@@ -221,17 +227,24 @@
 	return all
 }
 
-// Others returns the entries of the other nodes that were not removed.
-func (d *Directory) Others() []Entry {
+// Generation rises whenever EachOther would visit other nodes than before, or these
+// at other places.
+func (d *Directory) Generation() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var others []Entry
-	for _, e := range d.entries {
-		if e.Node != d.self.Node && !e.Removed {
-			others = append(others, e)
+	return d.generation
+}
+
+// EachOther calls f for the entries of the other nodes that were not removed. It
+// holds the lock meanwhile.
+func (d *Directory) EachOther(f func(Entry)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for node, e := range d.entries {
+		if node != d.self.Node && !e.Removed {
+			f(e)
 		}
 	}
-	return others
 }
 
 // Peers returns the addresses of the other nodes that were not removed.
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -1,14 +1,11 @@
 package gossip
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/mustardwing/mustardwing/internal/directory"
 )
 
@@ -40,6 +37,8 @@
 
 	mu     sync.Mutex
 	chosen time.Time
+	// generation is that of the directory at the choice.
+	generation uint64
 	// usual are among all nodes, near in the own failure domain, all is every node.
 	usual, near, all []string
 }
@@ -70,51 +69,41 @@
 	return append(chosen, sample(p.all, n-len(chosen), chosen)...)
 }
 
-// refresh renews the choice when it is old or empty. The caller holds the lock.
+// refresh renews the choice when the directory lists other nodes than it did. The
+// caller holds the lock.
 func (p *peers) refresh(now time.Time) {
 	age := now.Sub(p.chosen)
 	if age < peersRefresh && (len(p.all) >= 2*peerCount || age < firstRefresh) {
 		return
 	}
 	p.chosen = now
+	generation := p.directory.Generation()
+	if generation == p.generation {
+		return
+	}
+	p.generation = generation
 	self := p.directory.Self()
-	var all, near []string
-	for _, e := range p.directory.Others() {
-		all = append(all, e.Address)
+	usual, near := newRanking(self.Address, peerCount), newRanking(self.Address, nearCount)
+	p.all = make([]string, 0, len(p.all))
+	p.directory.EachOther(func(e directory.Entry) {
+		p.all = append(p.all, e.Address)
+		usual.offer(e.Address)
 		if e.FailureDomain == self.FailureDomain {
-			near = append(near, e.Address)
+			near.offer(e.Address)
 		}
-	}
-	if len(all) == 0 {
+	})
+	p.usual, p.near = usual.addresses(), near.addresses()
+	if len(p.all) == 0 {
 		// Nothing but the seeds is known yet.
-		all = slices.Clone(p.seeds)
-	}
-	p.all = all
-	p.usual = highest(self.Address, all, peerCount)
-	p.near = highest(self.Address, near, nearCount)
-}
-
-// highest returns the n addresses with the highest rank for this node. Each node
-// ranks the others in its own order, so that the choices form a random graph.
-func highest(self string, addresses []string, n int) []string {
-	type ranked struct {
-		address string
-		rank    uint64
-	}
-	all := make([]ranked, 0, len(addresses))
-	for _, a := range addresses {
-		all = append(all, ranked{a, xxhash.Sum64String(self + " " + a)})
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	var chosen []string
-	for _, r := range all[:min(n, len(all))] {
-		chosen = append(chosen, r.address)
+		p.all, p.usual = p.seeds, p.seeds
 	}
-	return chosen
 }
 
 // sample returns up to n random addresses that are not in without.
 func sample(addresses []string, n int, without []string) []string {
+	if n <= 0 {
+		return nil
+	}
 	var chosen []string
 	for _, i := range rand.Perm(len(addresses)) {
 		if len(chosen) >= n {
--- a/internal/gossip/peers_test.go
+++ b/internal/gossip/peers_test.go
@@ -65,3 +65,40 @@
 	alone := peers{directory: directoryOf(1), seeds: []string{"seed:1"}}
 	assert.DeepEqual(t, alone.forNews(now, 3), []string{"seed:1"})
 }
+
+// Guards against choices that leave groups of nodes apart, and against a node that is
+// a usual peer of many more than others.
+func TestChoicesOfAllFormOneGraph(t *testing.T) {
+	const n = 300
+	wanted := map[string]int{}
+	links := map[string][]string{}
+	for i := range n {
+		self := fmt.Sprint("10.0.", i/250, ".", i%250)
+		r := newRanking(self, peerCount)
+		for j := range n {
+			if j != i {
+				r.offer(fmt.Sprint("10.0.", j/250, ".", j%250))
+			}
+		}
+		for _, a := range r.addresses() {
+			wanted[a]++
+			links[self] = append(links[self], a)
+			links[a] = append(links[a], self)
+		}
+		assert.Equal(t, len(r.addresses()), peerCount)
+	}
+	for a, count := range wanted {
+		assert.Assert(t, count <= 3*peerCount, "%s is a peer of %d", a, count)
+	}
+	seen := map[string]bool{}
+	next := []string{"10.0.0.0"}
+	for len(next) > 0 {
+		a := next[0]
+		next = next[1:]
+		if !seen[a] {
+			seen[a] = true
+			next = append(next, links[a]...)
+		}
+	}
+	assert.Equal(t, len(seen), n)
+}
