--- a/internal/client/fleet_status.go
+++ b/internal/client/fleet_status.go
@@ -16,11 +16,14 @@
 // Reporters write every 10 s, and a lost reporter is replaced within seconds.
 const staleReport = time.Minute
 
-// FleetStatus is what all failure domains report.
+// FleetStatus is what the failure domains report and nodes announce.
 type FleetStatus struct {
 	// Revision is the highest one in the store.
 	Revision int64          `json:"revision"`
 	Domains  []DomainReport `json:"domains"`
+	// Announced holds the nodes that announce themselves one by one, in fleets whose
+	// failure domains write no reports.
+	Announced []AnnouncedGroup `json:"announced,omitempty"`
 }
 
 // DomainReport is one domain's report with its age on the operator's clock.
@@ -51,7 +54,8 @@
 		}
 		fleet.Domains = append(fleet.Domains, report)
 	}
-	return fleet, nil
+	fleet.Announced, err = c.announced(ctx, service)
+	return fleet, err
 }
 
 func (c *Client) report(object platform.Object) (DomainReport, error) {
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -58,6 +58,18 @@
 
 func (s FleetStatus) text(w io.Writer) {
 	fmt.Fprintf(w, "revision %d in the store\n\n", s.Revision)
+	if len(s.Announced) > 0 {
+		writeAnnounced(w, s.Announced)
+	}
+	if len(s.Announced) == 0 || len(s.Domains) > 0 {
+		s.writeDomains(w)
+	}
+	for _, line := range s.attention() {
+		fmt.Fprintln(w, line)
+	}
+}
+
+func (s FleetStatus) writeDomains(w io.Writer) {
 	t := newTable(w)
 	t.row("SERVICE", "DOMAIN", "NODES", "DRAINING", "RUNNING/SLOTS", "QUEUED", "SHED "+priorityHeading(), "REVISION")
 	for _, d := range s.Domains {
@@ -67,9 +79,6 @@
 		}
 	}
 	t.flush()
-	for _, line := range s.attention() {
-		fmt.Fprintln(w, line)
-	}
 }
 
 // attention lists what keeps the newest revision from being in force, with the
@@ -79,9 +88,12 @@
 	for _, d := range s.Domains {
 		lines = append(lines, d.missing(s.Revision)...)
 	}
-	if len(s.Domains) == 0 {
+	if len(s.Domains) == 0 && len(s.Announced) == 0 {
 		lines = append(lines, "no failure domain has reported yet")
 	}
+	for _, g := range s.Announced {
+		lines = append(lines, g.missing()...)
+	}
 	if len(lines) == 1 {
 		lines = append(lines, "nothing is unreachable or behind")
 	}
