A worker that leaves before its first heartbeat to a restarted node is withdrawn

Cause: the registry puts a leaving in force only for a worker of which this process has had a heartbeat. Ruled out: the drain limit of the upstream, which was never started.

Such a worker is now withdrawn at the node: the upstream drains, the entry says so, and it is not adopted if the entry comes later. Adoption, announcement and withdrawal are in order under one lock; before, an adoption could undo an announcement made between its check and its write.

--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -126,6 +126,16 @@
 	return true
 }
 
+// Withdraw puts in force that an instance leaves. It does nothing for another one.
+func (u *Upstream) Withdraw(now time.Time, id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c := u.current; c != nil && c.ID == id && c.drained.IsZero() {
+		c.Draining = true
+		c.drained = now
+	}
+}
+
 func (u *Upstream) admissionConfig(a Announcement) admission.Config {
 	v := u.config.Values(a.Service)
 	return admission.Config{Slots: a.Slots, QueuePerSlot: v.QueuePerSlot, QueueTimeout: v.QueueTimeout, LongShare: v.LongShare}
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -116,6 +117,10 @@
 	listeners []net.Listener
 	started   time.Time
 	leaving   atomic.Bool
+	// announcing keeps what the upstream says and what is adopted in order, withdrawn
+	// is the instance that left last without an announcement to this process.
+	announcing sync.Mutex
+	withdrawn  string
 	// served is set once the node knew an instance of every service.
 	served atomic.Bool
 }
@@ -283,10 +288,26 @@
 // Announce takes in what the upstream says about itself and puts it in force
 // here before it returns.
 func (n *Node) Announce(a mesh.Announcement, cold time.Duration) {
+	n.announcing.Lock()
+	defer n.announcing.Unlock()
 	n.upstream.Announce(time.Now(), a)
 	n.announceSelf(a, cold)
 }
 
+// Withdraw puts in force that an instance leaves which has not announced itself to
+// this process: it may have been adopted, or may yet be.
+func (n *Node) Withdraw(id string) {
+	n.announcing.Lock()
+	defer n.announcing.Unlock()
+	n.withdrawn = id
+	n.upstream.Withdraw(time.Now(), id)
+	n.directory.UpdateSelf(func(e *directory.Entry) {
+		if e.Upstream != nil && e.Upstream.ID == id && e.Upstream.State == directory.Ready {
+			e.Upstream.State = directory.Draining
+		}
+	})
+}
+
 // announceSelf puts an announcement into this node's entry.
 func (n *Node) announceSelf(a mesh.Announcement, cold time.Duration) {
 	n.directory.UpdateSelf(func(e *directory.Entry) {
@@ -326,6 +347,11 @@
 	if u == nil || u.State != directory.Ready || u.Service != n.config.Service || earlier.Removed || n.leaving.Load() {
 		return
 	}
+	n.announcing.Lock()
+	defer n.announcing.Unlock()
+	if u.ID == n.withdrawn {
+		return
+	}
 	a := mesh.Announcement{ID: u.ID, Service: u.Service, Address: n.config.UpstreamAddress, Slots: u.Slots}
 	if !n.upstream.Adopt(time.Now(), a) {
 		return
