A node that ends responds to the calls still in flight

150 ms before the end of its time a node now gives up the calls in flight and responds with 504, which promises nothing.

--- a/internal/mesh/caller.go
+++ b/internal/mesh/caller.go
@@ -48,6 +48,9 @@
 	config  CallerConfig
 	turn    atomic.Uint64
 	closing atomic.Bool
+	// stopped ends when the calls in flight have to be responded to, for lack of time.
+	stopped context.Context
+	stop    context.CancelFunc
 	calls   tally.Counter
 	repeats tally.Counter
 	moves   tally.Counter
@@ -67,6 +70,7 @@
 		latency: config.Scope.Histogram("call_latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 		results: make(map[resultcode.Code]tally.Counter),
 	}
+	c.stopped, c.stop = context.WithCancel(context.Background())
 	for _, e := range resultcode.Entries() {
 		c.results[e.Code] = config.Scope.Tagged(map[string]string{"code": strconv.Itoa(int(e.Code))}).Counter("call_results")
 	}
@@ -78,6 +82,12 @@
 	c.closing.Store(true)
 }
 
+// Stop gives up the calls in flight. They are responded to with an unknown outcome, so
+// that no connection closes without a response.
+func (c *Caller) Stop() {
+	c.stop()
+}
+
 // Serve implements h1.Handler.
 func (c *Caller) Serve(ctx context.Context, r *h1.Request) *h1.Response {
 	c.calls.Inc(1)
@@ -95,11 +105,22 @@
 	if c.closing.Load() && o.parent == nil {
 		return c.refuse(r, info, route, table.Version, resultcode.New(resultcode.Draining, "this node shuts down"))
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.stopped, cancel)()
 	response := o.run(ctx)
 	c.latency.RecordDuration(time.Since(r.Arrived))
 	return response
 }
 
+// cancelled returns why a call was cancelled.
+func (c *Caller) cancelled() *resultcode.Error {
+	if c.stopped.Err() != nil {
+		return resultcode.New(resultcode.DeadlineExceeded, "this node shuts down")
+	}
+	return resultcode.New(resultcode.CallerGone, "the caller left")
+}
+
 // start describes the call.
 func (c *Caller) start(r *h1.Request, info CallInfo, route *routing.Route, config uint64) *outgoing {
 	timeout := defaultTimeout
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -265,6 +265,22 @@
 	assert.Equal(t, (<-nested).Status, http.StatusOK)
 }
 
+// Guards against a connection that is closed without a response when a node ends while
+// an upstream is silent (rulaj-mesh stopped-in-turn, seed 134163222931: LOST), and
+// against a promise that the call has not run.
+func TestCallsInFlightAreAnsweredAtTheEnd(t *testing.T) {
+	for name, route := range map[string]routing.Route{"idempotent": idempotent(), "once": once()} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, route, &worker{handler: hanging}, &worker{handler: hanging})
+			time.AfterFunc(100*time.Millisecond, c.caller.Stop)
+			begun := time.Now()
+			response := c.call(t.Context(), "a")
+			assert.Equal(t, response.Status, http.StatusGatewayTimeout)
+			assert.Assert(t, time.Since(begun) < 400*time.Millisecond)
+		})
+	}
+}
+
 // Guards against a node that knows no upstream until the next heartbeat after a
 // restart, and against an announcement of an earlier time that replaces a newer one.
 func TestAdoptedUpstreamServesUntilItAnnouncesItself(t *testing.T) {
--- a/internal/mesh/outgoing.go
+++ b/internal/mesh/outgoing.go
@@ -118,7 +118,7 @@
 			o.answered = &a
 		}
 		if ctx.Err() != nil {
-			return o.conclude(resultcode.New(resultcode.CallerGone, "the caller left"))
+			return o.conclude(o.caller.cancelled())
 		}
 		last = a.failure()
 		if !o.mayRepeat(a) {
@@ -226,7 +226,7 @@
 		return verdict{Code: resultcode.Internal, Execution: resultcode.Unknown, Reached: true, Detail: err.Error()}
 	}
 	if ctx.Err() != nil {
-		return verdict{Code: resultcode.CallerGone, Execution: resultcode.Unknown, Reached: failure.Sent, Detail: err.Error()}
+		return verdict{Code: o.caller.cancelled().Code, Execution: resultcode.Unknown, Reached: failure.Sent, Detail: err.Error()}
 	}
 	if !failure.Sent {
 		o.caller.config.Instances.suspect(time.Now(), choice.Instance.ID)
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -47,6 +47,9 @@
 	// serveOn is the part of the notice during which the upstream still gets new
 	// calls: what they need after it is time enough to finish.
 	serveOn = 1200 * time.Millisecond
+	// lastResponses is how long before its end a node responds to the calls that are
+	// still in flight; it is ample for writing them.
+	lastResponses = 150 * time.Millisecond
 	// drainPart is the part of the drain bound after which calls for an upstream
 	// that leaves are refused.
 	drainPart = 0.4
@@ -405,6 +408,9 @@
 			// What is taken later may not be finished when the node is killed.
 			n.caller.Close()
 		}
+		if time.Until(end) < lastResponses {
+			n.caller.Stop()
+		}
 		if over && n.callers.InFlight() == 0 && n.peers.InFlight() == 0 {
 			break
 		}
