Read-through: one walk over other nodes, one share of outcomes, no cost without losses

The directory's filter for other nodes stood in Successor, Peers, EachOther and the choice of watchers, which sorted a copy of all entries four times a second for each of two prefixes only to count; all use one walk, and Size counts without a list. Two moving shares in the balancer are one function. Gossip sets the configuration's version where a message is sent, instead of at five callers. The prefix of the entries in the store has one name, next to that of the settings. Behaviour is unchanged; no test changed but for that name.

--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -96,7 +96,7 @@
 		return c.pickInTurn(now, r)
 	}
 	c.evaluate(now)
-	c.countOnce(r.Once)
+	c.oncePart = withOutcome(c.oncePart, onceWeight, r.Once)
 	lowest := c.collect(now, r)
 	if lowest == nil {
 		return Choice{}, resultcode.New(resultcode.NoInstance, "no ready instance that was not tried")
--- a/internal/balancer/losses.go
+++ b/internal/balancer/losses.go
@@ -35,13 +35,17 @@
 }
 
 func (l *losses) observe(now time.Time, lost bool) {
+	l.share = withOutcome(l.now(now), lossWeight, lost)
+	l.at = now
+}
+
+// withOutcome adds one outcome to a moving share of the outcomes that are true.
+func withOutcome(share, weight float64, outcome bool) float64 {
 	value := 0.0
-	if lost {
+	if outcome {
 		value = 1
 	}
-	l.share = l.now(now)
-	l.share += lossWeight * (value - l.share)
-	l.at = now
+	return share + weight*(value-share)
 }
 
 func (l *losses) now(now time.Time) float64 {
@@ -72,15 +76,21 @@
 	if r.Once {
 		margin, room = onceMargin, reliableCost
 	}
-	least, most := 1.0, 0.0
+	c.sound = c.sound[:0]
+	most := 0.0
+	for _, s := range candidates {
+		most = max(most, s.losses.now(now))
+	}
+	if most < margin {
+		// The usual case: hardly any answer is lost anywhere.
+		return c.sound
+	}
+	least := 1.0
 	for _, s := range candidates {
-		share := s.losses.now(now)
-		most = max(most, share)
 		if s.cost(now) < room {
-			least = min(least, share)
+			least = min(least, s.losses.now(now))
 		}
 	}
-	c.sound = c.sound[:0]
 	if most < least+margin {
 		return c.sound
 	}
@@ -91,11 +101,3 @@
 	}
 	return c.sound
 }
-
-func (c *core) countOnce(once bool) {
-	value := 0.0
-	if once {
-		value = 1
-	}
-	c.oncePart += onceWeight * (value - c.oncePart)
-}
--- a/internal/client/announced.go
+++ b/internal/client/announced.go
@@ -13,9 +13,6 @@
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
-// NodesPrefix is where nodes that announce themselves one by one keep their entries.
-const NodesPrefix = "nodes/"
-
 // AnnouncedGroup counts the nodes of a service in one failure domain by what they
 // announce of their upstreams.
 type AnnouncedGroup struct {
@@ -35,7 +32,7 @@
 
 // announced reads the entries of the nodes, without those that were removed as dead.
 func (c *Client) announced(ctx context.Context, service string) ([]AnnouncedGroup, error) {
-	listing, err := c.list(ctx, NodesPrefix)
+	listing, err := c.list(ctx, directory.KeyPrefix)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/client/announced_test.go
+++ b/internal/client/announced_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
 )
 
@@ -23,14 +24,14 @@
 		"10.0.0.5": `"failure_domain":"ro-b","removed":true,"upstream":{"id":"i-5","service":"photos","slots":10,"state":"ready"}`,
 		"10.0.0.6": `"failure_domain":"ro-b"`,
 	} {
-		put(t, store, NodesPrefix+node, `{"node":"`+node+`","version":1,"address":"`+node+`:8702",`+entry+`}`)
+		put(t, store, directory.KeyPrefix+node, `{"node":"`+node+`","version":1,"address":"`+node+`:8702",`+entry+`}`)
 	}
 	for _, args := range [][]string{{"status", "-o", "text"}, {"status", "-o", "json"}, {"status", "-service", "search", "-o", "text"}} {
 		status, stdout, stderr := p.run(args...)
 		assert.Equal(t, status, 0, stderr)
 		golden.Assert(t, transcript(args, status, stdout, stderr), strings.ReplaceAll(strings.Join(args, ""), "-", ".")+".announced.golden")
 	}
-	put(t, store, NodesPrefix+"10.0.0.7", `not an entry`)
+	put(t, store, directory.KeyPrefix+"10.0.0.7", `not an entry`)
 	status, _, stderr := p.run("status")
 	assert.Assert(t, status != 0)
 	assert.Assert(t, strings.Contains(stderr, "10.0.0.7"), stderr)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// KeyPrefix is where nodes keep their entries in the store.
+const KeyPrefix = "nodes/"
+
 // removedRetention is how long a removed entry is kept, so that no node that was
 // cut off for an hour brings it back.
 const removedRetention = 2 * time.Hour
@@ -183,17 +186,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var first, next Entry
-	for _, e := range d.entries {
-		if e.Removed || e.Node == d.self.Node {
-			continue
-		}
+	d.eachOther(func(e Entry) {
 		if first.Node == "" || e.Node < first.Node {
 			first = e
 		}
 		if e.Node > d.self.Node && (next.Node == "" || e.Node < next.Node) {
 			next = e
 		}
-	}
+	})
 	if next.Node == "" {
 		next = first
 	}
@@ -240,6 +240,11 @@
 func (d *Directory) EachOther(f func(Entry)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.eachOther(f)
+}
+
+// eachOther is EachOther for a caller that holds the lock.
+func (d *Directory) eachOther(f func(Entry)) {
 	for node, e := range d.entries {
 		if node != d.self.Node && !e.Removed {
 			f(e)
@@ -247,16 +252,17 @@
 	}
 }
 
+// Size returns the number of nodes that were not removed, this one included.
+func (d *Directory) Size() int {
+	size := 1
+	d.EachOther(func(Entry) { size++ })
+	return size
+}
+
 // Peers returns the addresses of the other nodes that were not removed.
 func (d *Directory) Peers() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var peers []string
-	for _, e := range d.entries {
-		if e.Node != d.self.Node && !e.Removed {
-			peers = append(peers, e.Address)
-		}
-	}
+	d.EachOther(func(e Entry) { peers = append(peers, e.Address) })
 	slices.Sort(peers)
 	return peers
 }
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -11,7 +11,7 @@
 // exchange compares what both nodes know and evens it out. It reports whether the
 // other node responded.
 func (g *Gossiper) exchange(ctx context.Context, peer string) bool {
-	reply, err := g.send(ctx, peer, message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()})
+	reply, err := g.send(ctx, peer, message{Digest: g.config.Directory.Digest()})
 	if ctx.Err() == nil {
 		g.reach.observe(err == nil)
 	}
@@ -35,7 +35,7 @@
 		return
 	}
 	question := comparison{Buckets: len(theirs), Differing: differing, Versions: versions}
-	reply, err := g.send(ctx, peer, message{ConfigVersion: g.config.Document.Version(), Compare: &question})
+	reply, err := g.send(ctx, peer, message{Compare: &question})
 	if err != nil {
 		g.failures.Inc(1)
 		return
@@ -45,7 +45,7 @@
 		g.behind.Store(true)
 	}
 	if entries := g.config.Directory.Entries(reply.Wanted); len(entries) > 0 {
-		g.sendNews(ctx, peer, message{ConfigVersion: g.config.Document.Version(), News: true, Entries: entries})
+		g.sendNews(ctx, peer, message{News: true, Entries: entries})
 	}
 }
 
@@ -69,11 +69,9 @@
 
 // sendConfig sends the configuration to a peer that has an older one.
 func (g *Gossiper) sendConfig(ctx context.Context, peer string, reply message) {
-	own := g.config.Document.Version()
-	if reply.ConfigVersion >= own {
-		return
+	if reply.ConfigVersion < g.config.Document.Version() {
+		g.sendNews(ctx, peer, message{News: true, Config: g.config.Document.Raw()})
 	}
-	g.sendNews(ctx, peer, message{ConfigVersion: own, News: true, Config: g.config.Document.Raw()})
 }
 
 func (g *Gossiper) sendNews(ctx context.Context, peer string, m message) {
@@ -82,7 +80,9 @@
 	}
 }
 
+// send exchanges a message, with the version of this node's configuration, for a reply.
 func (g *Gossiper) send(ctx context.Context, peer string, m message) (message, error) {
+	m.ConfigVersion = g.config.Document.Version()
 	body, header, err := encode(m)
 	if err != nil {
 		return message{}, err
@@ -104,7 +104,7 @@
 	}
 	g.heard()
 	g.take(m, r.RemoteIP)
-	reply := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest()}
+	reply := message{Digest: g.config.Directory.Digest()}
 	switch {
 	case m.Compare != nil:
 		reply.Entries, reply.Wanted = g.config.Directory.Compare(m.Compare.Buckets, m.Compare.Differing, m.Compare.Versions)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -166,7 +166,7 @@
 
 func (g *Gossiper) spreadNews(ctx context.Context) {
 	g.mu.Lock()
-	m := message{ConfigVersion: g.config.Document.Version(), News: true}
+	m := message{News: true}
 	for _, e := range g.pending {
 		m.Entries = append(m.Entries, e)
 	}
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -254,7 +254,7 @@
 func (n *Node) status() any {
 	s := nodeStatus{
 		Self: n.directory.Self(), ConfigVersion: n.document.Version(), SettingsRevision: n.settings.Revision(),
-		Nodes: len(n.directory.Peers()) + 1, CallsInFlight: n.callers.InFlight(), UpstreamInFlight: n.peers.InFlight(), Ready: "yes",
+		Nodes: n.directory.Size(), CallsInFlight: n.callers.InFlight(), UpstreamInFlight: n.peers.InFlight(), Ready: "yes",
 	}
 	if err := n.Ready(); err != nil {
 		s.Ready = err.Error()
--- a/internal/storesync/watchers.go
+++ b/internal/storesync/watchers.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mustardwing/mustardwing/internal/directory"
 )
 
 const (
@@ -28,11 +30,11 @@
 	self := s.config.Directory.Self().Node
 	rank := xxhash.Sum64String(prefix + self)
 	before := 0
-	for _, e := range s.config.Directory.All() {
-		if e.Node != self && !e.Removed && !e.Leaving && xxhash.Sum64String(prefix+e.Node) < rank {
+	s.config.Directory.EachOther(func(e directory.Entry) {
+		if !e.Leaving && xxhash.Sum64String(prefix+e.Node) < rank {
 			before++
 		}
-	}
+	})
 	return float64(before) < watcherCount/s.config.Reach()
 }
 
@@ -46,7 +48,7 @@
 	if s.isolated() {
 		return 1
 	}
-	return min(1, count/(s.config.Reach()*float64(len(s.config.Directory.Peers())+1)))
+	return min(1, count/(s.config.Reach()*float64(s.config.Directory.Size())))
 }
 
 // awaitRole returns once this node watches a prefix, and whether it had to wait,
