--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -47,6 +48,8 @@
 	// seeds are the gossip addresses that later nodes start with, so that they
 	// can join while the platform is away.
 	seeds []string
+	// temporary is set when the work directory belongs to this fleet.
+	temporary bool
 }
 
 // Start runs the platform stand-in, stores the settings and starts all
@@ -66,6 +69,22 @@
 	return f, nil
 }
 
+// StartTemporary is Start in a work directory of its own, which Stop removes. The
+// name, that of the program, is part of the directory's.
+func StartTemporary(ctx context.Context, binDir, name string, d Deployment) (*Fleet, error) {
+	workDir, err := os.MkdirTemp("", "mustardwing-"+name)
+	if err != nil {
+		return nil, errors.Wrap(err, "work directory")
+	}
+	f, err := Start(ctx, binDir, workDir, d)
+	if err != nil {
+		_ = os.RemoveAll(workDir)
+		return nil, err
+	}
+	f.temporary = true
+	return f, nil
+}
+
 func (f *Fleet) start(ctx context.Context) error {
 	for key, value := range f.Deployment.Settings {
 		if err := f.PutObject(key, []byte(value)); err != nil {
@@ -253,6 +272,10 @@
 	}
 	wg.Wait()
 	f.Platform.Kill()
+	if f.temporary {
+		// What is left behind is small and in the system's temporary directory.
+		_ = os.RemoveAll(f.WorkDir)
+	}
 }
 
 func get(url string) ([]byte, error) {
