internal/mesh: log the limit that an upstream states, and the calls under it

The node beside the upstream now decodes the limit as soon as the header of a response has been read, and logs when it begins and ends, with the calls passed on since the previous change and the retries among them. Nothing depends on the limit yet.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -109,7 +109,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.pool.config.ResponseMatches == nil || c.pool.config.ResponseMatches(r, response) {
+		if c.matches(r, response) {
 			return response, nil
 		}
 		c.mustClose = true
@@ -117,6 +117,19 @@
 	return nil, errResponseMismatch
 }
 
+// matches reports whether a response belongs to a request.
+func (c *clientConn) matches(r *Request, response *Response) bool {
+	return c.pool.config.ResponseMatches == nil || c.pool.config.ResponseMatches(r, response)
+}
+
+// reportHeader passes the header of a response to OnResponseHeader.
+func (c *clientConn) reportHeader(r *Request, parsed *http.Response) {
+	response := &Response{Status: parsed.StatusCode, Header: parsed.Header}
+	if c.pool.config.OnResponseHeader != nil && c.matches(r, response) {
+		c.pool.config.OnResponseHeader(r, response)
+	}
+}
+
 // readResponse returns the next response with its whole body and skips interim (1xx)
 // responses.
 func (c *clientConn) readResponse(r *Request) (*Response, error) {
@@ -127,6 +140,7 @@
 	if parsed.StatusCode < http.StatusOK {
 		return c.readResponse(r)
 	}
+	c.reportHeader(r, parsed)
 	limit := c.pool.config.MaxResponseBytes
 	body, err := readResponseBody(parsed, limit)
 	if err != nil {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -31,6 +31,9 @@
 	// all. A response that does not match is skipped and its connection is closed
 	// after the exchange.
 	ResponseMatches func(*Request, *Response) bool
+	// OnResponseHeader, unless nil, receives each response that matches its request, without
+	// the body, as soon as the header has been read. The body may still break off.
+	OnResponseHeader func(*Request, *Response)
 }
 
 // Pool holds the connections to one address. It is safe for concurrent use.
--- a/internal/mesh/harness_test.go
+++ b/internal/mesh/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -48,6 +49,14 @@
 	}
 }
 
+func (testProtocol) DecodeNotice(h http.Header) Notice {
+	limit, err := strconv.ParseFloat(h.Get("Test-Limit"), 64)
+	if err != nil {
+		limit = math.Inf(1)
+	}
+	return Notice{RateLimit: limit}
+}
+
 func (testProtocol) SameCall(request *h1.Request, response *h1.Response) bool {
 	return request.Header.Get("Test-Id") == response.Header.Get("Test-Id")
 }
--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -44,6 +44,14 @@
 	Stamped bool
 }
 
+// Notice is what an upstream states about itself in the header of each response.
+type Notice struct {
+	// RateLimit is the number of requests per second that the upstream takes from all nodes
+	// together, +Inf when it states no limit, and NaN when the limit that it states cannot be
+	// read.
+	RateLimit float64
+}
+
 // Protocol translates the headers that callers and upstreams use.
 type Protocol interface {
 	// DecodeCall reads and removes the caller's metadata.
@@ -52,6 +60,8 @@
 	EncodeCall(h http.Header, info UpstreamInfo)
 	// DecodeOutcome reads what the upstream's response states about the call.
 	DecodeOutcome(r *h1.Response) UpstreamOutcome
+	// DecodeNotice reads what an upstream states about itself.
+	DecodeNotice(h http.Header) Notice
 	// SameCall reports whether an upstream's response belongs to a request. A late
 	// response to an earlier request on the connection does not.
 	SameCall(request *h1.Request, response *h1.Response) bool
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -79,6 +79,7 @@
 	Announcement
 	pool      *h1.Pool
 	admission *admission.Controller
+	rateLimit *rateLimit
 	// drainStart is when the instance began to drain, zero while it does not.
 	drainStart    time.Time
 	lastAnnounced time.Time
@@ -109,10 +110,11 @@
 		if c != nil {
 			c.pool.Close()
 		}
-		c = &instance{Announcement: a, admission: admission.New(u.admissionConfig(a))}
+		c = &instance{Announcement: a, admission: admission.New(u.admissionConfig(a)), rateLimit: newRateLimit(now)}
 		c.pool = h1.NewPool(h1.PoolConfig{
 			Address: a.Address, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout,
 			MaxIdle: a.Slots, MaxResponseBytes: maxResponseBytes, DetectDeadPeer: true, ResponseMatches: u.config.Protocol.SameCall,
+			OnResponseHeader: func(_ *h1.Request, response *h1.Response) { u.observeNotice(c, response) },
 		})
 		u.current = c
 	}
@@ -258,6 +260,7 @@
 	}
 	u.config.Protocol.EncodeCall(r.Header, UpstreamInfo{Timeout: remaining, Instance: p.Instance, Caller: p.Caller})
 	r.NonIdempotent = !p.Idempotent
+	c.rateLimit.countCall(p.Retry)
 	response, err := c.pool.Do(ctx, r, deadline)
 	if err != nil {
 		return nil, u.exchangeOutcome(c, err)
@@ -277,6 +280,24 @@
 	return response, v
 }
 
+// observeNotice applies what the upstream states about itself in the header of a response,
+// unless another instance, which has the address by now, sent it.
+func (u *Upstream) observeNotice(c *instance, response *h1.Response) {
+	if u.config.Protocol.DecodeOutcome(response).OtherInstance {
+		return
+	}
+	notice := u.config.Protocol.DecodeNotice(response.Header)
+	change, changed := c.rateLimit.observe(time.Now(), notice.RateLimit)
+	if !changed {
+		return
+	}
+	log := u.config.Log.Info().Str("instance", c.ID).Bool("limited", change.began)
+	if change.began {
+		log = log.Float64("per_second", notice.RateLimit)
+	}
+	log.Dur("after", change.duration).Int64("calls", change.calls).Int64("retries", change.retries).Msg("upstream changed its rate limit")
+}
+
 // exchangeOutcome returns the outcome of an exchange that got no response.
 func (u *Upstream) exchangeOutcome(c *instance, err error) outcome {
 	var failure *h1.SendError
