internal/admission, internal/mesh: calls start at the rate that the upstream states

Callers of an upstream in need overloaded it further: an upstream that states how many requests per second it takes from all nodes together got as many as before.

Cause: no node read the limit. The node beside the upstream decided by slots alone, and an upstream that runs few calls at a time looks cheap to the callers' balancers, which sent it its full share.

Every call to an upstream passes the node beside it, so that node alone can keep the limit for all nodes, without messages: admission starts a call only when a slot is free and a token bucket, filled at the stated rate, has a token. The rest is the admission that exists: the queue, ordered by importance, is as long as the limit can serve within its timeout, the level follows what is shed, and a refused call has not reached the upstream. The load on responses carries the limit and the slots that it can keep busy, by which balancers judge the instance. A restarted node does not know the limit before the first response, so callers send the limit that they know along.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -15,6 +15,9 @@
 type Controller struct {
 	mu   sync.Mutex
 	core *core
+	// wakeTimer calls wake when the rate limit allows the next queued call to start. It is
+	// nil before the first call that has waited for that.
+	wakeTimer *time.Timer
 }
 
 // New returns a controller without calls.
@@ -28,7 +31,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.configure(time.Now(), config)
-	c.notifyDecided()
+	c.settle()
 }
 
 // Acquire waits for a slot. It fails with a *resultcode.Error whose execution
@@ -57,7 +60,7 @@
 	if t.state == queued {
 		t.decided = make(chan struct{})
 	}
-	c.notifyDecided()
+	c.settle()
 	return t
 }
 
@@ -82,21 +85,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.expire(t)
-	c.notifyDecided()
+	c.settle()
 }
 
 func (c *Controller) cancel(t *ticket) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.cancel(time.Now(), t)
-	c.notifyDecided()
+	c.settle()
 }
 
 func (c *Controller) release(t *ticket, execution resultcode.Execution) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.release(time.Now(), t, execution)
-	c.notifyDecided()
+	c.settle()
 }
 
 func (c *Controller) nestedCallShed(t *ticket) {
@@ -105,14 +108,40 @@
 	t.nestedCallShed = true
 }
 
-// notifyDecided notifies the calls in core.decided and empties it. c.mu must be held.
-func (c *Controller) notifyDecided() {
+// settle ends each operation on core: it notifies the calls in core.decided, empties it, and
+// sets the timer for the next call that waits for the rate limit. c.mu must be held.
+func (c *Controller) settle() {
 	for _, t := range c.core.decided {
 		if t.decided != nil {
 			close(t.decided)
 		}
 	}
 	c.core.decided = c.core.decided[:0]
+	after, waiting := c.core.wakeAfter(time.Now())
+	switch {
+	case !waiting:
+	case c.wakeTimer == nil:
+		c.wakeTimer = time.AfterFunc(after, c.wake)
+	default:
+		c.wakeTimer.Reset(after)
+	}
+}
+
+// wake starts the queued calls that waited for the rate limit.
+func (c *Controller) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.dispatch(time.Now())
+	c.settle()
+}
+
+// SetRateLimit puts in force the number of calls per second that the upstream takes at most;
+// nil lifts the limit. Calls beyond it are queued and shed as they are without a free slot.
+func (c *Controller) SetRateLimit(perSecond *float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.setRateLimit(time.Now(), perSecond)
+	c.settle()
 }
 
 // Load returns the present load, as the Mustardwing-Load header reports it.
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/mustardwing/mustardwing/internal/invariant"
@@ -23,8 +24,10 @@
 	running     int
 	longRunning int
 	// sequence is the number of calls that arrived so far.
-	sequence       uint64
-	level          levelTracker
+	sequence uint64
+	level    levelTracker
+	// rate is the gate for the rate limit that the upstream states.
+	rate           rateGate
 	lastClassified time.Time
 	// decided collects calls that were granted a slot or refused after they were
 	// queued, until the controller notifies them.
@@ -55,7 +58,7 @@
 		c.refuse(t, resultcode.DeadlineInsufficient)
 		return t
 	}
-	if c.hasFreeSlot(t) {
+	if c.canStart(now, t) {
 		c.grant(now, t)
 		return t
 	}
@@ -64,8 +67,8 @@
 }
 
 // checkDeadline reports whether t may run or be queued: the time until its deadline
-// covers the expected service time and, when no slot is free, the expected wait; or a
-// slot is free and t is admitted as a probe of its kind; see probeInterval. A call without
+// covers the expected service time and, when t cannot start now, the expected wait; or t can
+// start and is admitted as a probe of its kind; see probeInterval. A call without
 // a deadline always passes. checkDeadline counts t as shed when only the wait is too long.
 func (c *core) checkDeadline(now time.Time, t *ticket) bool {
 	if t.request.Deadline.IsZero() {
@@ -76,11 +79,10 @@
 		return false
 	}
 	service := t.kind.expectedServiceTime()
-	free := c.hasFreeSlot(t)
-	if free {
+	if c.canStart(now, t) {
 		return remaining >= service || t.kind.takeProbe(now)
 	}
-	if remaining >= service+c.expectedWait(t) {
+	if remaining >= service+c.expectedWait(now, t) {
 		return true
 	}
 	if remaining >= service {
@@ -89,11 +91,21 @@
 	return false
 }
 
-// expectedWait returns the expected time that t spends in the queue. It assumes that
+// expectedWait returns the expected time that t spends in the queue: the longer of the waits
+// for a slot and for the rate limit.
+func (c *core) expectedWait(now time.Time, t *ticket) time.Duration {
+	wait := c.rate.wait(now, c.short.position(t)+c.long.position(t))
+	if !c.hasFreeSlot(t) {
+		wait = max(wait, c.expectedSlotWait(t))
+	}
+	return wait
+}
+
+// expectedSlotWait returns the expected time until a slot is free for t. It assumes that
 // all slots that t may use are in use and become free at even intervals: a service time
 // divided by the number of these slots. That is the expected service time of the kind when
 // the kind is long, and otherwise the mean over all kinds.
-func (c *core) expectedWait(t *ticket) time.Duration {
+func (c *core) expectedSlotWait(t *ticket) time.Duration {
 	if t.kind.long {
 		ahead := float64(c.long.position(t) + 1)
 		return time.Duration(ahead * float64(t.kind.expectedServiceTime()) / float64(c.config.longSlotLimit()))
@@ -102,6 +114,11 @@
 	return time.Duration(ahead * c.kinds.mean * float64(time.Second) / float64(max(1, c.config.Slots)))
 }
 
+// canStart reports whether t may start now if no queued call precedes it.
+func (c *core) canStart(now time.Time, t *ticket) bool {
+	return c.hasFreeSlot(t) && c.rate.ready(now)
+}
+
 // hasFreeSlot reports whether a slot is free for t.
 func (c *core) hasFreeSlot(t *ticket) bool {
 	if c.running >= c.config.Slots {
@@ -118,7 +135,7 @@
 		if !c.evictFor(t, c.long.last()) {
 			return
 		}
-	} else if c.queued() >= c.config.queueLimit() {
+	} else if c.queued() >= c.queueLimit(now) {
 		if !c.evictFor(t, c.lowest()) {
 			return
 		}
@@ -130,6 +147,16 @@
 		"%d calls are queued, want at most %d", c.queued(), c.config.queueLimit())
 }
 
+// queueLimit returns the number of calls that may be queued: under a rate limit no more than
+// can start within the queue timeout.
+func (c *core) queueLimit(now time.Time) int {
+	limit := c.config.queueLimit()
+	if c.rate.limited {
+		limit = min(limit, c.rate.within(now, c.config.QueueTimeout))
+	}
+	return limit
+}
+
 // evictFor sheds the one of t and lowest that would be served last. lowest is the queued call
 // that t may replace, nil when there is none. It reports whether t may be queued.
 func (c *core) evictFor(t, lowest *ticket) bool {
@@ -218,20 +245,60 @@
 // exceed the new queue limit are shed.
 func (c *core) configure(now time.Time, config Config) {
 	c.config = config
-	for c.queued() > max(0, c.config.queueLimit()) {
+	c.shedExcess(now)
+	c.dispatch(now)
+}
+
+// setRateLimit puts a rate limit of the upstream in force; nil lifts it. Queued calls that
+// exceed the new queue limit are shed.
+func (c *core) setRateLimit(now time.Time, perSecond *float64) {
+	if perSecond == nil {
+		c.rate.clear()
+	} else {
+		c.rate.set(now, *perSecond)
+		c.shedExcess(now)
+	}
+	c.dispatch(now)
+}
+
+// shedExcess sheds the queued calls that exceed the queue limit.
+func (c *core) shedExcess(now time.Time) {
+	for limit := max(0, c.queueLimit(now)); c.queued() > limit; {
 		lowest := c.lowest()
 		c.remove(lowest)
 		c.shed(lowest, resultcode.Overloaded)
 	}
-	c.dispatch(now)
+}
+
+// wakeAfter returns when dispatch can start a queued call that only waits for the rate limit.
+// It returns false when there is none.
+func (c *core) wakeAfter(now time.Time) (time.Duration, bool) {
+	if c.nextForSlot() == nil {
+		return 0, false
+	}
+	return c.rate.wait(now, 0), c.rate.limited
 }
 
 // load returns the load to report. Its level is zero when admission control is disabled.
 func (c *core) load(now time.Time) Load {
 	c.level.advance(now)
-	l := Load{Running: c.running, Queued: c.queued(), Slots: c.config.Slots}
+	l := Load{Running: c.running, Queued: c.queued(), Slots: c.usableSlots()}
+	if c.rate.limited {
+		limit := c.rate.perSecond
+		l.RateLimit = &limit
+	}
 	if !c.config.Disabled {
 		l.Level = c.level.level()
 	}
 	return l
 }
+
+// usableSlots returns the number of slots that can be in use on average: under a rate limit as
+// many as calls of the mean service time keep busy, and one at least.
+func (c *core) usableSlots() int {
+	if !c.rate.limited {
+		return c.config.Slots
+	}
+	busy := math.Round(c.rate.rate() * c.kinds.mean)
+	return int(min(max(1, busy), float64(max(1, c.config.Slots))))
+}
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -11,7 +11,7 @@
 // call that has expired is shed instead, unless admission control is disabled.
 func (c *core) dispatch(now time.Time) {
 	for {
-		t := c.next()
+		t := c.next(now)
 		if t == nil {
 			return
 		}
@@ -25,9 +25,18 @@
 	}
 }
 
-// next returns the first queued call for which a slot is free, nil when there is none.
-// When admission control is disabled, it returns the first queued call.
-func (c *core) next() *ticket {
+// next returns the first queued call for which a slot is free, nil when there is none or when
+// the rate limit allows none. When admission control is disabled, it returns the first queued
+// call.
+func (c *core) next(now time.Time) *ticket {
+	if !c.config.Disabled && !c.rate.ready(now) {
+		return nil
+	}
+	return c.nextForSlot()
+}
+
+// nextForSlot is next without the rate limit.
+func (c *core) nextForSlot() *ticket {
 	short, long := c.short.first(), c.long.first()
 	if c.config.Disabled {
 		return earlier(short, long)
@@ -57,7 +66,8 @@
 			"%d calls hold a slot, want at most %d", c.running+1, c.config.Slots)
 		invariant.Check(!t.kind.long || c.longRunning < c.config.longSlotLimit(), "admission long share",
 			"%d calls of long kinds hold a slot, want at most %d", c.longRunning+1, c.config.longSlotLimit())
-		if first := c.next(); first != nil {
+		invariant.Check(c.rate.ready(now), "admission rate limit", "a call starts beyond the limit of %g a second", c.rate.perSecond)
+		if first := c.next(now); first != nil {
 			invariant.Check(t.before(first), "admission order",
 				"%+v is granted a slot before %+v, which is queued and could run", t.request, first.request)
 		}
@@ -74,7 +84,8 @@
 		c.longRunning++
 	}
 	t.kind.recordStart(now)
-	if c.running >= c.config.Slots {
+	c.rate.take(now)
+	if c.running >= c.config.Slots || !c.rate.ready(now) {
 		c.level.saturated = true
 	}
 }
--- a/internal/admission/level_tracker.go
+++ b/internal/admission/level_tracker.go
@@ -50,7 +50,8 @@
 	threshold int
 	// step is the size of the last step down in buckets, zero after any other window.
 	step int
-	// saturated is set when a call that started in the window left no slot free.
+	// saturated is set when a call that started in the window left no slot free or used up the
+	// rate limit.
 	saturated bool
 }
 
--- a/internal/balancer/instance_state.go
+++ b/internal/balancer/instance_state.go
@@ -20,6 +20,10 @@
 	// Counting them twice, and late, made the nodes fill one instance while others had
 	// free slots.
 	slownessMargin = 1.5
+	// usableSlotsExpiry is the age at which the slots that a rate limit can keep busy are
+	// discarded. It exceeds the pause between two calls of one node to one instance in a
+	// large fleet.
+	usableSlotsExpiry = 5 * time.Second
 	// ratioTimeConstant is the time constant with which the latency ratio returns to
 	// the neutral value 1 while no new samples arrive.
 	ratioTimeConstant = 10 * time.Second
@@ -61,6 +65,9 @@
 	// level is the level that the instance last reported, at levelAt.
 	level   admission.Level
 	levelAt time.Time
+	// usableSlots is the number of slots that the instance's rate limit can keep busy, as last
+	// reported at loadAt, zero when the instance reported no limit.
+	usableSlots int
 
 	// ratio is the mean latency ratio of recent calls: their latency divided by their
 	// kind's mean latency over all instances. ratioAt is the time of the last sample.
@@ -161,6 +168,10 @@
 func (s *instanceState) observeLoad(now time.Time, l admission.Load) {
 	s.peerLoad = max(0, float64(l.Running+l.Queued-s.outstanding))
 	s.loadAt = now
+	s.usableSlots = 0
+	if l.RateLimit != nil {
+		s.usableSlots = max(1, l.Slots)
+	}
 	s.level = l.Level
 	s.levelAt = now
 }
@@ -174,6 +185,16 @@
 	return s.level
 }
 
+// capacity returns the number of calls that the instance can run at a time, as far as this
+// node knows.
+func (s *instanceState) capacity(now time.Time) float64 {
+	slots := max(1, s.Slots)
+	if s.usableSlots > 0 && now.Sub(s.loadAt) < usableSlotsExpiry {
+		slots = min(slots, s.usableSlots)
+	}
+	return float64(slots)
+}
+
 // load estimates the number of in-flight calls at the instance, from all nodes, as far
 // as this node knows.
 func (s *instanceState) load(now time.Time) float64 {
@@ -187,13 +208,13 @@
 // cost estimates the delay of one more call, in units of its kind's latency: the calls
 // per slot, times the slowness as far as it exceeds slownessMargin.
 func (s *instanceState) cost(now time.Time) float64 {
-	return (s.load(now) + 1) / float64(max(1, s.Slots)) * max(1, s.slowness(now)/slownessMargin)
+	return (s.load(now) + 1) / s.capacity(now) * max(1, s.slowness(now)/slownessMargin)
 }
 
 // queueing reports whether another call would be queued at the instance, as far as
 // this node knows.
 func (s *instanceState) queueing(now time.Time) bool {
-	return s.load(now) >= float64(max(1, s.Slots))
+	return s.load(now) >= s.capacity(now)
 }
 
 // rampFraction returns the fraction of its usual share of calls that the instance gets,
--- a/internal/mesh/hop.go
+++ b/internal/mesh/hop.go
@@ -19,6 +19,8 @@
 	headerRank     = "Mustardwing-Rank"
 	// headerRepeat carries hop.Retry.
 	headerRepeat = "Mustardwing-Repeat"
+	// headerRateLimit carries hop.RateLimit.
+	headerRateLimit = "Mustardwing-Rate-Limit"
 	// headerReached is set on a response when the upstream received the call.
 	headerReached = "Mustardwing-Reached"
 	// headerRefusedBelow carries outcome.NestedRefused.
@@ -46,6 +48,10 @@
 	Retry bool
 	// Timeout is the time left until the deadline of the call.
 	Timeout time.Duration
+	// RateLimit is the rate limit that the instance reported to the sending node recently,
+	// nil when it reported none. A node that has just started learns the limit of its
+	// upstream from it.
+	RateLimit *float64
 }
 
 // encode sets the headers that decodeHop reads.
@@ -64,6 +70,9 @@
 	if !p.Idempotent {
 		h[call.HeaderRepeatable] = []string{"no"}
 	}
+	if p.RateLimit != nil {
+		h[headerRateLimit] = []string{admission.FormatRateLimit(*p.RateLimit)}
+	}
 }
 
 // decodeHop reads the headers between nodes and removes all reserved headers.
@@ -89,6 +98,7 @@
 		Caller: h.Get(headerCaller), Priority: priority, Rank: uint32(rank), Depth: uint8(depth),
 		Retry:      h.Get(headerRepeat) != "",
 		Idempotent: h.Get(call.HeaderRepeatable) == "", Timeout: time.Duration(milliseconds) * time.Millisecond,
+		RateLimit: admission.ParseRateLimit(h.Get(headerRateLimit)),
 	}
 	call.StripReserved(h)
 	return p, nil
--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/mustardwing/mustardwing/internal/admission"
 	"github.com/mustardwing/mustardwing/internal/balancer"
 	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/settings"
@@ -19,6 +20,9 @@
 	// localCostLimit is the cost, in calls per slot, below which an instance of the
 	// local failure domain is preferred. At higher costs upstreams slow down.
 	localCostLimit = 0.6
+	// rateLimitRetention is how long the rate limit of an instance is kept after its last
+	// report. It covers a restart of the instance's node, which learns the limit from it.
+	rateLimitRetention = 30 * time.Second
 )
 
 // Instances chooses among the upstream instances that the directory lists. It
@@ -35,6 +39,14 @@
 	balancers map[string]*balancer.Balancer
 	// suspects holds the suspicion of each suspected instance, by its id.
 	suspects map[string]suspicion
+	// rateLimits holds the rate limits that instances reported, by the id of the instance.
+	rateLimits map[string]reportedRateLimit
+}
+
+// reportedRateLimit is a rate limit in calls per second with the time of its last report.
+type reportedRateLimit struct {
+	perSecond *float64
+	at        time.Time
 }
 
 // suspicion is the state of an instance that recently was unreachable or accepted no
@@ -53,10 +65,12 @@
 	return &Instances{
 		region: region, domain: failureDomain, directory: d, values: values,
 		balancers: make(map[string]*balancer.Balancer), suspects: make(map[string]suspicion),
+		rateLimits: make(map[string]reportedRateLimit),
 	}
 }
 
-// Update applies the current entries of the directory and deletes old suspicions. A
+// Update applies the current entries of the directory and deletes old suspicions and rate
+// limits. A
 // service that the directory no longer lists keeps its balancer, without instances.
 func (s *Instances) Update(now time.Time) {
 	services := make(map[string][]balancer.Instance)
@@ -94,6 +108,11 @@
 			delete(s.suspects, id)
 		}
 	}
+	for id, reported := range s.rateLimits {
+		if now.Sub(reported.at) > rateLimitRetention {
+			delete(s.rateLimits, id)
+		}
+	}
 }
 
 // balancerFor returns the balancer of a service. The caller holds the lock.
@@ -161,3 +180,29 @@
 	defer s.mu.Unlock()
 	delete(s.suspects, id)
 }
+
+// noteLoad records the rate limit in the load that an instance reported.
+func (s *Instances) noteLoad(now time.Time, id string, load *admission.Load) {
+	if load == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if load.RateLimit == nil {
+		delete(s.rateLimits, id)
+		return
+	}
+	s.rateLimits[id] = reportedRateLimit{perSecond: load.RateLimit, at: now}
+}
+
+// rateLimit returns the rate limit that an instance reported last, nil when it reported none
+// within rateLimitRetention.
+func (s *Instances) rateLimit(now time.Time, id string) *float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reported := s.rateLimits[id]
+	if now.Sub(reported.at) > rateLimitRetention {
+		return nil
+	}
+	return reported.perSecond
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/budget"
+	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/h1"
 	"github.com/mustardwing/mustardwing/internal/routing"
 )
@@ -318,3 +321,52 @@
 	c.outbound.config.InFlight.add(&inFlightCall{hop: hop{ID: "root"}, deadline: time.Now().Add(time.Second)})
 	assert.Equal(t, c.call(t.Context(), "root.1").Status, http.StatusOK)
 }
+
+// limiting returns a handler of an upstream that states a rate limit.
+func limiting(limit string) func(context.Context, *h1.Request) *h1.Response {
+	return func(_ context.Context, r *h1.Request) *h1.Response {
+		response := executed(r, http.StatusOK, "")
+		response.Header.Set("Test-Limit", limit)
+		return response
+	}
+}
+
+// Guards against an upstream that gets more calls than the rate limit that it states, from
+// all nodes together, and against calls refused although another instance takes them.
+func TestUpstreamGetsNoMoreCallsThanItsRateLimit(t *testing.T) {
+	limited, free := &testUpstream{handler: limiting("10")}, &testUpstream{handler: good}
+	c := newCluster(t, nonIdempotent(), limited, free)
+	second := NewOutbound(c.outbound.config)
+	var group sync.WaitGroup
+	for i := range 300 {
+		outbound := []*Outbound{c.outbound, second}[i%2]
+		group.Go(func() {
+			status := outbound.Serve(t.Context(), newRequest(fmt.Sprint(i))).Status
+			assert.Check(t, status == http.StatusOK, status)
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	group.Wait()
+	assert.Assert(t, limited.received.Load() <= 28, "%d calls in 1.5 s at a limit of 10 per second", limited.received.Load())
+}
+
+// Guards against a node that forgets the rate limit of its upstream when it restarts, while
+// the other nodes know it, and against one that believes them instead of the upstream.
+func TestRestartedNodeLearnsRateLimitFromCallers(t *testing.T) {
+	up := &testUpstream{handler: limiting("0.1")}
+	c := newCluster(t, nonIdempotent(), up)
+	c.call(t.Context(), "a")
+	u := c.upstreams["i-0"]
+	announcement, _ := u.Current()
+	restarted := NewUpstream(u.config)
+	restarted.Announce(time.Now(), announcement)
+	callRestarted := func(id string) string {
+		r := newRequest(id)
+		hop{ID: id, Instance: "i-0", Timeout: time.Second, RateLimit: c.instances.rateLimit(time.Now(), "i-0")}.encode(r.Header)
+		return restarted.Serve(t.Context(), r).Header.Get(call.HeaderRun)
+	}
+	assert.Equal(t, callRestarted("b"), "no")
+	assert.Equal(t, up.received.Load(), int64(1))
+	restarted.current.rateLimit.observe(time.Now(), Notice{})
+	assert.Equal(t, callRestarted("c"), "yes")
+}
--- a/internal/mesh/outbound_call.go
+++ b/internal/mesh/outbound_call.go
@@ -202,6 +202,7 @@
 	started := time.Now()
 	a := attempt{choice: choice}
 	p.Instance = choice.Instance.ID
+	p.RateLimit = o.outbound.config.Instances.rateLimit(started, p.Instance)
 	if p.Timeout < time.Millisecond {
 		a.outcome = outcome{Code: resultcode.DeadlineInsufficient, Execution: resultcode.NotRun, Detail: "no time is left before the deadline"}
 		return a
@@ -217,6 +218,7 @@
 	} else {
 		a.outcome = decodeOutcome(response.Header)
 		a.response = response
+		o.outbound.config.Instances.noteLoad(time.Now(), choice.Instance.ID, a.outcome.Load)
 		o.outbound.config.Instances.clearSuspicion(choice.Instance.ID)
 		if code := a.outcome.Code; code == resultcode.NoInstance || code == resultcode.UpstreamUnreachable || code == resultcode.Draining {
 			o.outbound.config.Instances.suspect(time.Now(), choice.Instance.ID)
--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -46,10 +46,11 @@
 
 // Notice is what an upstream states about itself in the header of each response.
 type Notice struct {
-	// RateLimit is the number of requests per second that the upstream takes from all nodes
-	// together, +Inf when it states no limit, and NaN when the limit that it states cannot be
-	// read.
-	RateLimit float64
+	// RateLimit is the number of calls per second that the upstream takes from all nodes
+	// together, nil when it states no limit that can be read.
+	RateLimit *float64
+	// UnreadableRateLimit is set when the upstream states a limit that cannot be read.
+	UnreadableRateLimit bool
 }
 
 // Protocol translates the headers that callers and upstreams use.
--- a/internal/mesh/rate_limit.go
+++ b/internal/mesh/rate_limit.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -9,9 +8,14 @@
 // rateLimit is the limit that an upstream states, with the calls passed on under it. It is
 // safe for concurrent use.
 type rateLimit struct {
+	// apply puts a limit in force; nil lifts it.
+	apply func(perSecond *float64)
+
 	mu sync.Mutex
-	// perSecond is the limit of the latest response, +Inf when it stated none.
-	perSecond float64
+	// perSecond is the limit in force, nil when there is none.
+	perSecond *float64
+	// stated is set once a response of the upstream has stated whether there is a limit.
+	stated bool
 	// since is when the upstream began or ceased to state a limit, at first when it became
 	// known.
 	since time.Time
@@ -28,24 +32,45 @@
 	calls, retries int64
 }
 
-func newRateLimit(now time.Time) *rateLimit {
-	return &rateLimit{perSecond: math.Inf(1), since: now}
+func newRateLimit(now time.Time, apply func(*float64)) *rateLimit {
+	return &rateLimit{apply: apply, since: now}
 }
 
-// observe applies the limit of a response. It returns a change when the upstream begins or
-// ceases to state a limit. A limit that cannot be read leaves the known one in force.
-func (l *rateLimit) observe(now time.Time, perSecond float64) (rateLimitChange, bool) {
-	if math.IsNaN(perSecond) {
+// observe applies what a response states. It returns a change when a limit begins or ends. A
+// limit that cannot be read leaves the one in force.
+func (l *rateLimit) observe(now time.Time, n Notice) (rateLimitChange, bool) {
+	if n.UnreadableRateLimit {
 		return rateLimitChange{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.limited()
+	l.stated = true
+	return l.set(now, n.RateLimit)
+}
+
+// adopt applies the limit that another node has learned, unless a response of the upstream has
+// stated since the start of this node whether there is one.
+func (l *rateLimit) adopt(now time.Time, perSecond *float64) (rateLimitChange, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stated || perSecond == nil {
+		return rateLimitChange{}, false
+	}
+	return l.set(now, perSecond)
+}
+
+// set puts a limit in force. The lock must be held.
+func (l *rateLimit) set(now time.Time, perSecond *float64) (rateLimitChange, bool) {
+	before := l.perSecond
+	if before == nil && perSecond == nil || before != nil && perSecond != nil && *before == *perSecond {
+		return rateLimitChange{}, false
+	}
 	l.perSecond = perSecond
-	if l.limited() == before {
+	l.apply(perSecond)
+	if before != nil && perSecond != nil {
 		return rateLimitChange{}, false
 	}
-	change := rateLimitChange{began: !before, duration: now.Sub(l.since), calls: l.calls, retries: l.retries}
+	change := rateLimitChange{began: before == nil, duration: now.Sub(l.since), calls: l.calls, retries: l.retries}
 	l.since, l.calls, l.retries = now, 0, 0
 	return change, true
 }
@@ -59,7 +84,3 @@
 		l.retries++
 	}
 }
-
-func (l *rateLimit) limited() bool {
-	return !math.IsInf(l.perSecond, 1)
-}
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -110,7 +110,8 @@
 		if c != nil {
 			c.pool.Close()
 		}
-		c = &instance{Announcement: a, admission: admission.New(u.admissionConfig(a)), rateLimit: newRateLimit(now)}
+		c = &instance{Announcement: a, admission: admission.New(u.admissionConfig(a))}
+		c.rateLimit = newRateLimit(now, c.admission.SetRateLimit)
 		c.pool = h1.NewPool(h1.PoolConfig{
 			Address: a.Address, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout,
 			MaxIdle: a.Slots, MaxResponseBytes: maxResponseBytes, DetectDeadPeer: true, ResponseMatches: u.config.Protocol.SameCall,
@@ -223,6 +224,9 @@
 	if failure != nil {
 		return u.refuse(p, nil, failure)
 	}
+	if change, changed := c.rateLimit.adopt(time.Now(), p.RateLimit); changed {
+		u.logRateLimit(c, change, p.RateLimit)
+	}
 	slot, err := c.admission.Acquire(ctx, admission.Request{
 		Kind: p.Kind, Priority: p.Priority, Rank: p.Rank, Depth: p.Depth, Deadline: deadline,
 	})
@@ -287,13 +291,16 @@
 		return
 	}
 	notice := u.config.Protocol.DecodeNotice(response.Header)
-	change, changed := c.rateLimit.observe(time.Now(), notice.RateLimit)
-	if !changed {
-		return
+	if change, changed := c.rateLimit.observe(time.Now(), notice); changed {
+		u.logRateLimit(c, change, notice.RateLimit)
 	}
+}
+
+// logRateLimit logs that a rate limit of the upstream begins, or ends if perSecond is nil.
+func (u *Upstream) logRateLimit(c *instance, change rateLimitChange, perSecond *float64) {
 	log := u.config.Log.Info().Str("instance", c.ID).Bool("limited", change.began)
-	if change.began {
-		log = log.Float64("per_second", notice.RateLimit)
+	if perSecond != nil {
+		log = log.Float64("per_second", *perSecond)
 	}
 	log.Dur("after", change.duration).Int64("calls", change.calls).Int64("retries", change.retries).Msg("upstream changed its rate limit")
 }
