internal/mesh: an upstream that states that it leaves gets no new calls

Callers' requests went on to an upstream that was about to end, if it said so only in its responses: a heartbeat or a deregistration was the only statement that the nodes read.

Cause: as with the rate limit, the statement passed through two nodes without reaching the state that decides. Reproduced by tests of our own: without the change TestUpstreamThatStatesThatItLeavesGetsNoNewCalls fails at the announcement that makes the upstream ready again, and TestLeavingUpstreamIsRememberedByCallers with a call that runs (200 instead of 503).

The upstream's node now drains an incarnation from the header of the first response that states it, and no heartbeat undoes that. The nodes that receive the response keep it for the incarnation themselves, so a restart of the upstream's node does not matter, and a node that restarts learns it from its earlier entry. Announcements and entries name the incarnation, because an upstream may start again under its id. Status 421 is sent by another instance, so its headers count for neither limit nor leaving.

--- a/internal/directory/entry.go
+++ b/internal/directory/entry.go
@@ -20,8 +20,10 @@
 // the node itself found out about its state.
 type Upstream struct {
 	// ID is the id of the instance. A restarted upstream has a new one.
-	ID      string `json:"id"`
-	Service string `json:"service"`
+	ID string `json:"id"`
+	// Incarnation is when the upstream started, in Unix milliseconds, zero if it is not known.
+	Incarnation int64  `json:"incarnation,omitempty"`
+	Service     string `json:"service"`
 	// Slots is the number of calls that the upstream runs at a time.
 	Slots int           `json:"slots"`
 	State UpstreamState `json:"state"`
--- a/internal/mesh/harness_test.go
+++ b/internal/mesh/harness_test.go
@@ -50,7 +50,7 @@
 }
 
 func (testProtocol) DecodeNotice(h http.Header) Notice {
-	return Notice{RateLimit: admission.ParseRateLimit(h.Get("Test-Limit"))}
+	return Notice{RateLimit: admission.ParseRateLimit(h.Get("Test-Limit")), Leaving: h.Get("Test-Leaving") != ""}
 }
 
 func (testProtocol) SameCall(request *h1.Request, response *h1.Response) bool {
@@ -118,7 +118,7 @@
 		}))
 		u := NewUpstream(UpstreamConfig{
 			Protocol: testProtocol{}, InFlight: inFlight, DrainGracePeriod: 50 * time.Millisecond, Values: values,
-			OnUnreachable: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+			OnUnreachable: func(string) {}, OnLeaving: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		u.Announce(time.Now(), Announcement{ID: up.id, Service: "s", Address: address, Slots: 4})
 		c.upstreams[up.id] = u
--- a/internal/mesh/hop.go
+++ b/internal/mesh/hop.go
@@ -21,6 +21,8 @@
 	headerRepeat = "Mustardwing-Repeat"
 	// headerRateLimit carries hop.RateLimit.
 	headerRateLimit = "Mustardwing-Rate-Limit"
+	// headerLeaving carries outcome.Leaving.
+	headerLeaving = "Mustardwing-Leaving"
 	// headerReached is set on a response when the upstream received the call.
 	headerReached = "Mustardwing-Reached"
 	// headerRefusedBelow carries outcome.NestedRefused.
@@ -117,6 +119,8 @@
 	// set when a nested call was not run for any reason, or not retried because
 	// the retry budget denied it.
 	NestedShed, NestedRefused bool
+	// Leaving is set when the upstream has stated that it leaves.
+	Leaving bool
 	// Load is the load of the instance, nil when the response carries none.
 	Load *admission.Load
 	// Detail describes a failure. It is not sent between nodes.
@@ -135,6 +139,9 @@
 	if v.NestedRefused {
 		h[headerRefusedBelow] = []string{"1"}
 	}
+	if v.Leaving {
+		h[headerLeaving] = []string{"1"}
+	}
 	if v.Load != nil {
 		h[call.HeaderLoad] = []string{v.Load.String()}
 	}
@@ -145,7 +152,7 @@
 func decodeOutcome(h http.Header) outcome {
 	v := outcome{
 		Code: resultcode.AnswerMismatch, Execution: resultcode.ParseExecution(h.Get(call.HeaderRun)), Reached: h.Get(headerReached) != "", NestedShed: h.Get(call.HeaderShed) != "",
-		NestedRefused: h.Get(headerRefusedBelow) != "",
+		NestedRefused: h.Get(headerRefusedBelow) != "", Leaving: h.Get(headerLeaving) != "",
 	}
 	if code, err := strconv.Atoi(h.Get(call.HeaderCode)); err == nil {
 		v.Code = resultcode.Code(code)
--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -23,6 +23,9 @@
 	// rateLimitRetention is how long the rate limit of an instance is kept after its last
 	// report. It covers a restart of the instance's node, which learns the limit from it.
 	rateLimitRetention = 30 * time.Second
+	// leavingRetention is how long an instance that leaves is remembered. It has ended by
+	// then.
+	leavingRetention = 10 * time.Minute
 )
 
 // Instances chooses among the upstream instances that the directory lists. It
@@ -41,6 +44,15 @@
 	suspects map[string]suspicion
 	// rateLimits holds the rate limits that instances reported, by the id of the instance.
 	rateLimits map[string]reportedRateLimit
+	// leaving holds when an instance stated in a response to this node that it leaves. It gets
+	// no more calls of this node, whatever its entry says.
+	leaving map[incarnation]time.Time
+}
+
+// incarnation identifies one start of an upstream.
+type incarnation struct {
+	id      string
+	started uint64
 }
 
 // reportedRateLimit is a rate limit in calls per second with the time of its last report.
@@ -65,16 +77,19 @@
 	return &Instances{
 		region: region, domain: failureDomain, directory: d, values: values,
 		balancers: make(map[string]*balancer.Balancer), suspects: make(map[string]suspicion),
-		rateLimits: make(map[string]reportedRateLimit),
+		rateLimits: make(map[string]reportedRateLimit), leaving: make(map[incarnation]time.Time),
 	}
 }
 
-// Update applies the current entries of the directory and deletes old suspicions and rate
-// limits. A
+// Update applies the current entries of the directory and deletes old suspicions, rate limits
+// and incarnations that leave. A
 // service that the directory no longer lists keeps its balancer, without instances.
 func (s *Instances) Update(now time.Time) {
+	entries := s.directory.All()
 	services := make(map[string][]balancer.Instance)
-	for _, e := range s.directory.All() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range entries {
 		if e.Upstream == nil {
 			continue
 		}
@@ -83,18 +98,17 @@
 			// A service is known even if none of its instances serves.
 			services[name] = nil
 		}
-		if !e.Serves() {
+		started := uint64(max(0, e.Upstream.Incarnation))
+		if _, leaves := s.leaving[incarnation{e.Upstream.ID, started}]; leaves || !e.Serves() {
 			continue
 		}
 		// The mesh sets no balancer.Config.RampUp, so ReadySince only serves the age of the
 		// entry in log lines.
 		services[name] = append(services[name], balancer.Instance{
-			ID: e.Upstream.ID, Region: e.Region, FailureDomain: e.FailureDomain,
+			ID: e.Upstream.ID, Incarnation: started, Region: e.Region, FailureDomain: e.FailureDomain,
 			PeerAddress: e.Address, Slots: e.Upstream.Slots, ReadySince: e.Learned,
 		})
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for name, all := range services {
 		s.balancerFor(name).SetInstances(now, all)
 	}
@@ -113,6 +127,11 @@
 			delete(s.rateLimits, id)
 		}
 	}
+	for key, since := range s.leaving {
+		if now.Sub(since) > leavingRetention {
+			delete(s.leaving, key)
+		}
+	}
 }
 
 // balancerFor returns the balancer of a service. The caller holds the lock.
@@ -206,3 +225,15 @@
 	}
 	return reported.perSecond
 }
+
+// noteLeaving records that an instance states that it leaves, and chooses it no more.
+func (s *Instances) noteLeaving(now time.Time, i balancer.Instance) {
+	key := incarnation{i.ID, i.Incarnation}
+	s.mu.Lock()
+	_, known := s.leaving[key]
+	s.leaving[key] = now
+	s.mu.Unlock()
+	if !known {
+		s.Update(now)
+	}
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mustardwing/mustardwing/internal/budget"
 	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/h1"
 	"github.com/mustardwing/mustardwing/internal/routing"
 )
@@ -370,3 +371,80 @@
 	restarted.current.rateLimit.observe(time.Now(), Notice{})
 	assert.Equal(t, callRestarted("c"), "yes")
 }
+
+func leaving(_ context.Context, r *h1.Request) *h1.Response {
+	response := executed(r, http.StatusOK, "")
+	response.Header.Set("Test-Leaving", "1")
+	return response
+}
+
+// Guards against new calls for an upstream that has stated in a response that it leaves, but
+// whose announcement of that has not arrived.
+func TestUpstreamThatStatesThatItLeavesGetsNoNewCalls(t *testing.T) {
+	going := &testUpstream{handler: leaving}
+	c := newCluster(t, nonIdempotent(), going, &testUpstream{handler: good})
+	for going.received.Load() == 0 {
+		assert.Equal(t, c.call(t.Context(), "a").Status, http.StatusOK)
+	}
+	u := c.upstreams["i-0"]
+	a, _ := u.Current()
+	a.Draining = false
+	assert.Assert(t, u.Announce(time.Now(), a).Draining)
+	time.Sleep(100 * time.Millisecond)
+	received := going.received.Load()
+	uninformed := c.outbound.config
+	uninformed.Instances = NewInstances("region", "domain", c.directory, c.instances.values)
+	uninformed.Instances.Update(time.Now())
+	second := NewOutbound(uninformed)
+	for i := range 20 {
+		assert.Equal(t, c.call(t.Context(), "b").Status, http.StatusOK)
+		assert.Equal(t, second.Serve(t.Context(), newRequest(fmt.Sprint(i))).Status, http.StatusOK)
+	}
+	assert.Equal(t, going.received.Load(), received)
+	a.Incarnation = 1
+	u.Announce(time.Now(), a)
+	a.Incarnation = 2
+	assert.Assert(t, !u.Announce(time.Now(), a).Draining, "a new incarnation does not leave")
+}
+
+// Guards against calls of a node to an upstream that has told it that it leaves, after a
+// restart of the upstream's node, and against leaving out a new incarnation with the same id.
+func TestLeavingUpstreamIsRememberedByCallers(t *testing.T) {
+	going := &testUpstream{handler: leaving}
+	c := newCluster(t, nonIdempotent(), going)
+	c.call(t.Context(), "a")
+	entry, _ := c.directory.Get("i-0")
+	restart := func(started int64) *h1.Response {
+		upstream := *entry.Upstream
+		upstream.Incarnation = started
+		entry.Upstream = &upstream
+		entry.Version++
+		a, _ := c.upstreams["i-0"].Current()
+		a.Incarnation, a.Draining = started, false
+		restarted := NewUpstream(c.upstreams["i-0"].config)
+		restarted.Announce(time.Now(), a)
+		entry.Address = serve(t, restarted)
+		c.directory.Merge([]directory.Entry{entry})
+		c.instances.Update(time.Now())
+		return c.call(t.Context(), "b")
+	}
+	assert.Equal(t, restart(0).Status, http.StatusServiceUnavailable)
+	assert.Equal(t, going.received.Load(), int64(1))
+	assert.Equal(t, restart(7).Status, http.StatusOK)
+}
+
+// Guards against an upstream that is drained or limited because of what another instance, which
+// has its address by now, states in its responses.
+func TestNoticeOfAnotherInstanceIsIgnored(t *testing.T) {
+	up := &testUpstream{handler: func(_ context.Context, r *h1.Request) *h1.Response {
+		response := executed(r, http.StatusMisdirectedRequest, "")
+		response.Header.Set("Test-Leaving", "1")
+		response.Header.Set("Test-Limit", "1")
+		return response
+	}}
+	c := newCluster(t, nonIdempotent(), up)
+	c.call(t.Context(), "a")
+	current := c.upstreams["i-0"].current
+	assert.Assert(t, !c.upstreams["i-0"].isLeaving(current))
+	assert.Assert(t, current.admission.Load().RateLimit == nil)
+}
--- a/internal/mesh/outbound_call.go
+++ b/internal/mesh/outbound_call.go
@@ -219,6 +219,9 @@
 		a.outcome = decodeOutcome(response.Header)
 		a.response = response
 		o.outbound.config.Instances.noteLoad(time.Now(), choice.Instance.ID, a.outcome.Load)
+		if a.outcome.Leaving {
+			o.outbound.config.Instances.noteLeaving(time.Now(), choice.Instance)
+		}
 		o.outbound.config.Instances.clearSuspicion(choice.Instance.ID)
 		if code := a.outcome.Code; code == resultcode.NoInstance || code == resultcode.UpstreamUnreachable || code == resultcode.Draining {
 			o.outbound.config.Instances.suspect(time.Now(), choice.Instance.ID)
--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -51,6 +51,8 @@
 	RateLimit *float64
 	// UnreadableRateLimit is set when the upstream states a limit that cannot be read.
 	UnreadableRateLimit bool
+	// Leaving is set when the upstream states that it is about to end.
+	Leaving bool
 }
 
 // Protocol translates the headers that callers and upstreams use.
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -34,8 +34,11 @@
 // Announcement is what an upstream sends to its own node about itself.
 type Announcement struct {
 	// ID is the id of the instance. A restarted upstream has a new one.
-	ID      string
-	Service string
+	ID string
+	// Incarnation is when the upstream started, in Unix milliseconds, zero if it is not known.
+	// A restarted upstream may keep its id.
+	Incarnation int64
+	Service     string
 	// Address is where the upstream accepts calls.
 	Address string
 	// Slots is the number of calls that the upstream runs at a time.
@@ -43,6 +46,13 @@
 	Draining bool
 }
 
+// sameInstance reports whether two announcements are of one incarnation of an upstream at one
+// address.
+func (a Announcement) sameInstance(b Announcement) bool {
+	known := a.Incarnation != 0 && b.Incarnation != 0
+	return a.ID == b.ID && a.Address == b.Address && a.Service == b.Service && (!known || a.Incarnation == b.Incarnation)
+}
+
 // UpstreamConfig is the configuration of an Upstream.
 type UpstreamConfig struct {
 	Protocol Protocol
@@ -56,8 +66,11 @@
 	// OnUnreachable is called, without a lock held, with the id of the instance when
 	// the upstream becomes unreachable.
 	OnUnreachable func(id string)
-	Log           zerolog.Logger
-	Scope         tally.Scope
+	// OnLeaving is called, without a lock held, with the id of the instance when the upstream
+	// first states that it leaves.
+	OnLeaving func(id string)
+	Log       zerolog.Logger
+	Scope     tally.Scope
 }
 
 // Upstream passes calls to the local upstream. It is safe for concurrent use.
@@ -81,7 +94,10 @@
 	admission *admission.Controller
 	rateLimit *rateLimit
 	// drainStart is when the instance began to drain, zero while it does not.
-	drainStart    time.Time
+	drainStart time.Time
+	// leaving is set once a response has stated that the instance leaves. It then drains
+	// whatever it announces.
+	leaving       bool
 	lastAnnounced time.Time
 	// failedDials counts the failed dials since the latest announcement, except refused
 	// connections and cancelled calls.
@@ -100,13 +116,14 @@
 	}
 }
 
-// Announce applies an announcement of the upstream. Another id, address or service
-// replaces the current instance.
-func (u *Upstream) Announce(now time.Time, a Announcement) {
+// Announce applies an announcement of the upstream and returns it as it is in force: an
+// instance that has stated in a response that it leaves drains. Another incarnation, id,
+// address or service replaces the current instance.
+func (u *Upstream) Announce(now time.Time, a Announcement) Announcement {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	c := u.current
-	if c == nil || c.ID != a.ID || c.Address != a.Address || c.Service != a.Service {
+	if c == nil || !c.sameInstance(a) {
 		if c != nil {
 			c.pool.Close()
 		}
@@ -119,6 +136,10 @@
 		})
 		u.current = c
 	}
+	a.Draining = a.Draining || c.leaving
+	if a.Incarnation == 0 {
+		a.Incarnation = c.Incarnation
+	}
 	if c.Slots != a.Slots {
 		c.admission.Configure(u.admissionConfig(a))
 	}
@@ -132,6 +153,7 @@
 	c.lastAnnounced = now
 	c.unreachable = false
 	c.failedDials = 0
+	return a
 }
 
 // Adopt applies an announcement from before a restart of the node unless one has been
@@ -284,6 +306,31 @@
 	return response, v
 }
 
+// noteLeaving drains an instance that has stated that it leaves, and reports this once.
+func (u *Upstream) noteLeaving(now time.Time, c *instance) {
+	u.mu.Lock()
+	first := !c.leaving
+	c.leaving = true
+	if c.drainStart.IsZero() {
+		c.Draining = true
+		c.drainStart = now
+	}
+	report := first && u.current == c
+	u.mu.Unlock()
+	if !report {
+		return
+	}
+	u.config.Log.Info().Str("instance", c.ID).Msg("upstream states that it leaves")
+	u.config.OnLeaving(c.ID)
+}
+
+// isLeaving reports whether an instance has stated that it leaves.
+func (u *Upstream) isLeaving(c *instance) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return c.leaving
+}
+
 // observeNotice applies what the upstream states about itself in the header of a response,
 // unless another instance, which has the address by now, sent it.
 func (u *Upstream) observeNotice(c *instance, response *h1.Response) {
@@ -294,6 +341,9 @@
 	if change, changed := c.rateLimit.observe(time.Now(), notice); changed {
 		u.logRateLimit(c, change, notice.RateLimit)
 	}
+	if notice.Leaving {
+		u.noteLeaving(time.Now(), c)
+	}
 }
 
 // logRateLimit logs that a rate limit of the upstream begins, or ends if perSecond is nil.
@@ -405,6 +455,7 @@
 	if c != nil {
 		load := c.admission.Load()
 		v.Load = &load
+		v.Leaving = u.isLeaving(c)
 	}
 	v.encode(response.Header)
 	return response
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -138,8 +138,11 @@
 	// announceMu keeps announcements of the upstream and the adoption of an earlier one
 	// in order. withdrawn is the id of the instance that Withdraw was last called for,
 	// empty before the first call.
+	// draining is the draining upstream in the entry of an earlier process of this node, the
+	// zero value when there was none.
 	announceMu sync.Mutex
 	withdrawn  string
+	draining   directory.Upstream
 	// wasReady is set once the node has known a ready instance of every service that has a
 	// route.
 	wasReady atomic.Bool
@@ -190,7 +193,7 @@
 	inFlight := mesh.NewInFlightCalls()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
 		Protocol: c.Protocol, InFlight: inFlight, DrainGracePeriod: c.Bounds.drainGracePeriod(),
-		Values: values, OnUnreachable: n.markUpstreamUnreachable, Log: c.Log, Scope: scope,
+		Values: values, OnUnreachable: n.markUpstreamUnreachable, OnLeaving: n.markUpstreamLeaving, Log: c.Log, Scope: scope,
 	})
 	n.outbound = mesh.NewOutbound(mesh.OutboundConfig{
 		Service: c.Service, InFlight: inFlight, Protocol: c.Protocol, Routes: n.document.Table,
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -75,3 +75,17 @@
 	assert.Assert(t, a.Draining)
 	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
 }
+
+// Guards against a draining upstream that becomes ready again because its node has restarted.
+func TestUpstreamKeepsDrainingAcrossRestart(t *testing.T) {
+	n := newNode()
+	earlier := earlierEntry(5)
+	earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, 7
+	n.directory.Merge([]directory.Entry{earlier})
+	a := mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}
+	n.Announce(a, 0)
+	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
+	a.Incarnation = 8
+	n.Announce(a, 0)
+	assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
+}
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -14,8 +14,16 @@
 func (n *Node) Announce(a mesh.Announcement, cold time.Duration) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	n.upstream.Announce(time.Now(), a)
-	n.announceSelf(a, cold)
+	if n.leftBefore(a) {
+		a.Draining = true
+	}
+	n.announceSelf(n.upstream.Announce(time.Now(), a), cold)
+}
+
+// leftBefore reports whether the entry of an earlier process of this node says that the
+// announced incarnation drains. announceMu must be held.
+func (n *Node) leftBefore(a mesh.Announcement) bool {
+	return n.draining.Incarnation != 0 && n.draining.ID == a.ID && n.draining.Incarnation == a.Incarnation
 }
 
 // Withdraw marks an instance as draining by its id alone, since it may not have announced
@@ -26,6 +34,19 @@
 	defer n.announceMu.Unlock()
 	n.withdrawn = id
 	n.upstream.Withdraw(time.Now(), id)
+	n.markDraining(id)
+}
+
+// markUpstreamLeaving sets the state of an upstream that has stated in a response that it
+// leaves in this node's entry.
+func (n *Node) markUpstreamLeaving(id string) {
+	n.announceMu.Lock()
+	defer n.announceMu.Unlock()
+	n.markDraining(id)
+}
+
+// markDraining sets the state of a ready upstream in this node's entry.
+func (n *Node) markDraining(id string) {
 	n.directory.UpdateSelf(func(e *directory.Entry) {
 		if e.Upstream != nil && e.Upstream.ID == id && e.Upstream.State == directory.Ready {
 			e.Upstream.State = directory.Draining
@@ -40,7 +61,7 @@
 		if a.Draining {
 			state = directory.Draining
 		}
-		next := directory.Upstream{ID: a.ID, Service: a.Service, Slots: a.Slots, State: state}
+		next := directory.Upstream{ID: a.ID, Incarnation: a.Incarnation, Service: a.Service, Slots: a.Slots, State: state}
 		if e.Upstream != nil && e.Upstream.ID == a.ID {
 			next.ColdMs = e.Upstream.ColdMs
 		} else {
@@ -56,6 +77,11 @@
 // calls for the adopted one.
 func (n *Node) adoptUpstream(earlier directory.Entry) {
 	u := earlier.Upstream
+	if u != nil && u.State == directory.Draining {
+		n.announceMu.Lock()
+		n.draining = *u
+		n.announceMu.Unlock()
+	}
 	if u == nil || u.State != directory.Ready || u.Service != n.config.Service || earlier.Removed || n.leaving.Load() {
 		return
 	}
@@ -64,7 +90,7 @@
 	if u.ID == n.withdrawn {
 		return
 	}
-	a := mesh.Announcement{ID: u.ID, Service: u.Service, Address: n.config.UpstreamAddress, Slots: u.Slots}
+	a := mesh.Announcement{ID: u.ID, Incarnation: u.Incarnation, Service: u.Service, Address: n.config.UpstreamAddress, Slots: u.Slots}
 	if !n.upstream.Adopt(time.Now(), a) {
 		return
 	}
