internal/storesync, platform: log that the store has returned from an older copy

No node read Store-Era, so neither a log line nor a metric told a return of the store from an outage, and a watch that goes on across a return looked like any other: the hypotheses in docs/incidents/store-return.md could not be told apart. The store's client now keeps the highest era that a response has stated, and the syncer logs when it rises and when a watch was continued from a version of an earlier era. The stand-in store can return to an earlier copy, states its era, and refuses watches from versions that it does not have. Nothing depends on the era yet.

--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -103,7 +103,7 @@
 	Protocol     mesh.Protocol
 	// DecodeRoutes parses and validates the operators' configuration.
 	DecodeRoutes func([]byte) (*routing.Table, error)
-	Store        platform.Store
+	Store        platform.EraStore
 	Keys         storesync.Keys
 	// Seeds are the addresses to contact while no other node is known.
 	Seeds  []string
--- a/internal/platform/platformtest/history.go
+++ b/internal/platform/platformtest/history.go
@@ -1,6 +1,8 @@
 package platformtest
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -68,9 +70,10 @@
 }
 
 // after returns the changes under prefix that are newer than version; ok is
-// false when changes newer than version, under any prefix, are no longer kept.
+// false when changes newer than version, under any prefix, are no longer kept, or when there
+// is no such version.
 func (h *history) after(prefix string, version int64) (changes []platform.Object, ok bool) {
-	if version < h.compactedUpTo {
+	if version < h.compactedUpTo || version > h.version {
 		return nil, false
 	}
 	first := sort.Search(len(h.changes), func(i int) bool { return h.changes[i].Version > version })
@@ -83,6 +86,14 @@
 	return changes, true
 }
 
+// copy returns a copy that later changes do not affect.
+func (h *history) copy() *history {
+	c := *h
+	c.objects = maps.Clone(h.objects)
+	c.changes = slices.Clone(h.changes)
+	return &c
+}
+
 func clone(o platform.Object) platform.Object {
 	o.Value = append([]byte(nil), o.Value...)
 	return o
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -25,11 +25,13 @@
 type Store struct {
 	mu      sync.Mutex
 	history *history
-	faults  Faults
-	counts  Counts
-	random  *rand.Rand
-	reads   *rate.Limiter
-	writes  *rate.Limiter
+	// era rises with each Restore.
+	era    uint64
+	faults Faults
+	counts Counts
+	random *rand.Rand
+	reads  *rate.Limiter
+	writes *rate.Limiter
 	// changed is closed and replaced on every change of objects or faults and on every
 	// compaction.
 	changed chan struct{}
@@ -37,12 +39,13 @@
 	pollTimeout time.Duration
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ platform.EraStore = (*Store)(nil)
 
 // New returns an empty store whose random faults are determined by seed.
 func New(seed uint64) *Store {
 	return &Store{
 		history:     newHistory(DefaultHistoryLimit),
+		era:         1,
 		random:      rand.New(rand.NewPCG(seed, seed)),
 		reads:       rate.NewLimiter(rate.Inf, 0),
 		writes:      rate.NewLimiter(rate.Inf, 0),
@@ -92,6 +95,35 @@
 	s.notifyWatches()
 }
 
+// Copy is the state of a store at one moment.
+type Copy struct {
+	history *history
+}
+
+// Copy returns the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.history.copy()}
+}
+
+// Restore returns to an earlier state: later writes are lost, and the next ones get the same
+// versions again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = c.history.copy()
+	s.era++
+	s.notifyWatches()
+}
+
+// Era implements platform.EraStore.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Get implements platform.Store.
 func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
 	if err := s.begin(ctx, &s.counts.Gets, s.readLimiter); err != nil {
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -56,3 +56,12 @@
 	// the changes.
 	Watch(ctx context.Context, prefix string, after int64) (Events, error)
 }
+
+// EraStore is a Store that may return from an outage with an older copy of its objects. It
+// has then lost what it had acknowledged since, and gives out the same versions again.
+type EraStore interface {
+	Store
+	// Era returns the highest era that a response has stated so far, zero before the first.
+	// The era rises with each return; versions of different eras cannot be compared.
+	Era() uint64
+}
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -54,7 +54,7 @@
 
 // Config holds what a Syncer needs.
 type Config struct {
-	Store     platform.Store
+	Store     platform.EraStore
 	Keys      Keys
 	Directory *directory.Directory
 	Document  *gossip.Document
@@ -79,6 +79,7 @@
 	// entryDeleted is set when this node's entry was deleted from the store, until publish
 	// takes notice of it.
 	entryDeleted atomic.Bool
+	era          eraTracker
 	// publishSignal wakes publish.
 	publishSignal chan struct{}
 	// calls counts the calls to the store, errors those that failed, except conflicting
@@ -119,6 +120,14 @@
 	s.publish(ctx)
 }
 
+// observeEra takes notice of the era that the store has stated in its responses.
+func (s *Syncer) observeEra() {
+	era := s.config.Store.Era()
+	if s.era.observe(era) {
+		s.config.Log.Warn().Uint64("era", era).Msg("store has returned from an older copy")
+	}
+}
+
 // poll reads the configuration at random intervals. The other nodes learn it from the one
 // that reads it, so each node reads less often the more nodes there are.
 func (s *Syncer) poll(ctx context.Context) {
@@ -130,6 +139,7 @@
 		}
 		s.calls.Inc(1)
 		o, err := s.config.Store.Get(ctx, s.config.Keys.Config)
+		s.observeEra()
 		if err != nil {
 			s.errors.Inc(1)
 			continue
@@ -148,6 +158,7 @@
 	for ctx.Err() == nil {
 		s.calls.Inc(1)
 		listing, err := s.config.Store.List(ctx, prefix)
+		s.observeEra()
 		if err != nil {
 			s.errors.Inc(1)
 			backoff.failed(err)
@@ -163,12 +174,18 @@
 // watch applies the changes under a prefix until the prefix has to be listed again or
 // ctx ends.
 func (s *Syncer) watch(ctx context.Context, prefix string, version int64, batch time.Duration, gossiped bool, apply func(change), backoff *callBackoff) {
+	listed := s.era.known.Load()
 	for failures := 0; failures < relistAfter && ctx.Err() == nil; {
 		if gossiped && s.awaitWatcherRole(ctx, prefix) {
 			return
 		}
 		s.calls.Inc(1)
 		events, err := s.config.Store.Watch(ctx, prefix, version)
+		s.observeEra()
+		if err == nil && s.era.known.Load() != listed {
+			s.config.Log.Warn().Str("for", prefix).Int64("after", version).Int64("store", events.Version).Msg("watch continued although the store has returned from an older copy")
+			listed = s.era.known.Load()
+		}
 		if errors.Is(err, platform.ErrCompacted) {
 			s.config.Log.Info().Str("for", prefix).Int64("after", version).Msg("store history was compacted; listing the prefix again")
 			sleepJittered(ctx, minBackoff)
@@ -311,6 +328,7 @@
 	}
 	s.calls.Inc(1)
 	o, err := s.config.Store.Update(ctx, s.key(self.Node), revision, value)
+	s.observeEra()
 	if err != nil && resultcode.From(err).Code == resultcode.SettingsConflict {
 		s.applyEntries(change{objects: []platform.Object{o}})
 	}
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -45,7 +45,7 @@
 	return routing.New(version, routing.DefaultLimits(), nil), nil
 }
 
-func startNode(ctx context.Context, name string, store platform.Store) *node {
+func startNode(ctx context.Context, name string, store platform.EraStore) *node {
 	n := &node{}
 	d := directory.New(directory.Entry{Node: name, Address: name}, time.Now)
 	n.Syncer = New(Config{
@@ -182,7 +182,7 @@
 
 // unresponsiveWatchStore is a store whose watches never receive an event.
 type unresponsiveWatchStore struct {
-	platform.Store
+	platform.EraStore
 }
 
 func (s unresponsiveWatchStore) Watch(ctx context.Context, _ string, after int64) (platform.Events, error) {
