internal/storesync: a lost entry is not written in a loop

Nothing that callers saw. A node that remembers the revision of its entry, while the store has lost the entry by a return from an older copy, writes with that revision; if the store answers with a conflict that names no object, the node kept the revision and wrote again at once, with no pause and without end, at the expense of all others that may write.

Cause: a revision of zero after a conflict meant "not known" in one place and "there is none" in another, which agreed as long as a written entry could only go by a deletion that the node sees.

The result of a write now carries both what is stored and what was written, and a conflict that names the revision that was the condition is an error, followed by a pause. With the change go test ./internal/storesync passes. publish and write moved into a file of their own.

--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -17,7 +17,6 @@
 	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/gossip"
 	"github.com/mustardwing/mustardwing/internal/platform"
-	"github.com/mustardwing/mustardwing/internal/resultcode"
 	"github.com/mustardwing/mustardwing/internal/settings"
 )
 
@@ -272,69 +271,6 @@
 	return s.config.Keys.NodesPrefix + node
 }
 
-// publish writes this node's entry after each change of the entry, and again after its
-// deletion from the store, until ctx ends. It writes nothing before the upstream has
-// announced itself.
-func (s *Syncer) publish(ctx context.Context) {
-	backoff := &callBackoff{log: s.config.Log, name: "local entry"}
-	// revision is the revision of this node's entry in the store, zero if there is none.
-	var revision int64
-	// writtenVersion is the Version of the entry that was written last, zero before the first
-	// write and after a deletion of the entry from the store.
-	writtenVersion := uint64(0)
-	for {
-		self := s.config.Directory.Self()
-		if s.entryDeleted.Swap(false) {
-			revision, writtenVersion = 0, 0
-		}
-		if self.Upstream == nil || self.Version == writtenVersion {
-			select {
-			case <-ctx.Done():
-				return
-			case <-s.publishSignal:
-			}
-			continue
-		}
-		next, err := s.write(ctx, self, revision)
-		if next > 0 {
-			revision = next
-		}
-		if err == nil {
-			writtenVersion = self.Version
-			backoff.succeeded()
-			continue
-		}
-		if resultcode.From(err).Code == resultcode.ScopeNotFound {
-			revision = 0
-		}
-		if resultcode.From(err).Code != resultcode.SettingsConflict {
-			s.errors.Inc(1)
-			backoff.failed(err)
-			sleepJittered(ctx, backoff.delay())
-		}
-		if ctx.Err() != nil {
-			return
-		}
-	}
-}
-
-// write makes one conditional write of this node's entry and returns the revision of the
-// entry that is in the store now, or zero if it is not known. After a conflict it merges
-// that entry, which raises the version of this node's entry if necessary.
-func (s *Syncer) write(ctx context.Context, self directory.Entry, revision int64) (int64, error) {
-	value, err := json.Marshal(self)
-	if err != nil {
-		return 0, resultcode.Wrap(err, resultcode.Internal, "encode the local entry")
-	}
-	s.calls.Inc(1)
-	o, err := s.config.Store.Update(ctx, s.key(self.Node), revision, value)
-	s.observeEra()
-	if err != nil && resultcode.From(err).Code == resultcode.SettingsConflict {
-		s.applyEntries(change{objects: []platform.Object{o}})
-	}
-	return o.Version, err
-}
-
 // Remove makes one attempt to delete the entry of a dead node from the store. If it fails,
 // or the node writes the entry while Remove runs, the entry stays until the node is found
 // dead again.
