internal/storesync, internal/gossip, internal/settings: the store's return is noticed

What callers would have seen: after the platform's store has returned from an older copy, an operator's edit of the settings tree that the store has acknowledged did not come into force at nodes, at worst not before the store had given out as many revisions again.

Cause: revisions were compared across a return. A node refused settings with a lower revision than the one in force as old, and a watch that went on from a revision that the store had given out again never received the changes up to it, without an error.

Nodes now keep the highest Store-Era that a response of the store or a peer has stated. When it rises, the waiting watch ends, the prefix is listed again, and the settings in that listing replace those in force whatever their revision is. Gossip carries the era, so a node whose watch waits for up to 28 s, or which slept through the return, learns of it with its next exchange. Nodes that do not watch a prefix do not list it again. The listings are spread over one second for 1,000 nodes. Why that is enough: a revision is only compared with one of the same era, since every loop carries the era of its listing.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -86,7 +86,7 @@
 // send sends a message with the version of this node's configuration and returns the
 // response.
 func (g *Gossiper) send(ctx context.Context, peer string, m message) (message, error) {
-	m.ConfigVersion = g.config.Document.Version()
+	m.ConfigVersion, m.StoreEra = g.config.Document.Version(), g.config.StoreEra.Current()
 	body, header, err := encode(m)
 	if err != nil {
 		return message{}, err
@@ -108,7 +108,7 @@
 	}
 	g.recordReceived()
 	g.merge(m, r.RemoteIP)
-	response := message{Digest: g.config.Directory.Digest()}
+	response := message{Digest: g.config.Directory.Digest(), StoreEra: g.config.StoreEra.Current()}
 	switch {
 	case m.Compare != nil:
 		response.Entries, response.Wanted = g.config.Directory.Compare(m.Compare.Buckets, m.Compare.Differing, m.Compare.Versions)
@@ -129,8 +129,10 @@
 	return &h1.Response{Status: http.StatusOK, Header: header, Body: body}
 }
 
-// merge applies the entries and the configuration that a peer sent.
+// merge applies the entries and the configuration that a peer sent, and the store's era that
+// it knows.
 func (g *Gossiper) merge(m message, peer string) {
+	g.config.StoreEra.Observe(m.StoreEra)
 	if len(m.Entries) > 0 {
 		g.config.Directory.Merge(m.Entries)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -55,6 +55,7 @@
 	Directory *directory.Directory
 	// Document holds the operators' configuration.
 	Document *Document
+	StoreEra *StoreEra
 	Sender   Sender
 	// Seeds are the addresses to contact while the directory holds no other node.
 	Seeds []string
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -71,7 +71,7 @@
 		address := fmt.Sprint("node-", i)
 		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
 		g := New(Config{
-			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), Sender: endpoint{net, address},
+			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: endpoint{net, address},
 			Seeds: []string{"node-0"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		d.OnChange(g.Disseminate)
@@ -188,7 +188,7 @@
 		d := directory.New(directory.Entry{Node: "late", Address: "late"}, time.Now)
 		sender := &meter{endpoint: endpoint{net, "late"}, perPeer: map[string]int{}}
 		late := New(Config{
-			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), Sender: sender,
+			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: sender,
 			Seeds: []string{"node-0"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		go late.Run(ctx)
@@ -208,7 +208,7 @@
 		address := fmt.Sprint("node-", i)
 		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
 		g := New(Config{
-			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), Sender: &meter{endpoint: endpoint{net, address}, perPeer: map[string]int{}},
+			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: &meter{endpoint: endpoint{net, address}, perPeer: map[string]int{}},
 			OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		addNodes(d, 2, 1000)
@@ -225,6 +225,21 @@
 	assert.Assert(t, bytes < 8<<10, "%d bytes for one entry", bytes)
 }
 
+// Guards against nodes that do not learn from their peers that the store has returned from an older copy.
+func TestStoreEraReachesAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		_, fleet := startFleet(ctx, 30)
+		time.Sleep(10 * time.Second)
+		fleet[7].config.StoreEra.Observe(2)
+		time.Sleep(4 * time.Second)
+		for i, g := range fleet {
+			assert.Equal(t, g.config.StoreEra.Current(), uint64(2), "node %d", i)
+		}
+	})
+}
+
 // Guards against a configuration that returns to an older version, and against an
 // invalid one that replaces the one in force.
 func TestDocumentVersionOnlyRises(t *testing.T) {
@@ -243,7 +258,7 @@
 	f.Add([]byte(`{"config_version":1,"digest":2,"entries":[{"node":"a","address":"b"}],"config":9}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		d := directory.New(directory.Entry{Node: "self", Address: "self"}, time.Now)
-		g := New(Config{Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), Log: zerolog.Nop(), Scope: tally.NoopScope})
+		g := New(Config{Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Log: zerolog.Nop(), Scope: tally.NoopScope})
 		response := g.Serve(context.Background(), &h1.Request{Body: body})
 		if response.Status == 200 {
 			var m message
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -14,6 +14,8 @@
 	// ConfigVersion and Digest describe the sender's configuration and directory.
 	ConfigVersion uint64 `json:"config_version"`
 	Digest        uint64 `json:"digest,omitempty"`
+	// StoreEra is the highest era of the store that the sender knows; see platform.EraStore.
+	StoreEra uint64 `json:"store_era,omitempty"`
 	// UpdateOnly is set when the message only carries changes. The receiver then does not
 	// compare its digest with the sender's, since the digests differ while changes are
 	// disseminated.
--- /dev/null
+++ b/internal/gossip/store_era.go
@@ -0,0 +1,68 @@
+package gossip
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+)
+
+// StoreEra holds the highest era of the platform's store that this node knows, from the store
+// or from a peer; see platform.EraStore. It is safe for concurrent use.
+type StoreEra struct {
+	log zerolog.Logger
+
+	mu    sync.Mutex
+	known uint64
+	// returned is closed and replaced at each return of the store.
+	returned chan struct{}
+}
+
+// NewStoreEra returns a StoreEra that knows no era.
+func NewStoreEra(log zerolog.Logger) *StoreEra {
+	return &StoreEra{log: log, returned: make(chan struct{})}
+}
+
+// Observe records an era. If another, lower one was known, the store has returned from an older
+// copy since.
+func (e *StoreEra) Observe(era uint64) {
+	e.mu.Lock()
+	if era <= e.known {
+		e.mu.Unlock()
+		return
+	}
+	first := e.known == 0
+	e.known = era
+	if first {
+		e.mu.Unlock()
+		return
+	}
+	close(e.returned)
+	e.returned = make(chan struct{})
+	e.mu.Unlock()
+	e.log.Warn().Uint64("era", era).Msg("store has returned from an older copy")
+}
+
+// Current returns the highest known era, zero before the first.
+func (e *StoreEra) Current() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known
+}
+
+// Context returns a context that ends with ctx, and when the store is known to have returned
+// from an older copy after this call.
+func (e *StoreEra) Context(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	e.mu.Lock()
+	returned := e.returned
+	e.mu.Unlock()
+	go func() {
+		select {
+		case <-returned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -182,12 +182,13 @@
 	n.peerPools = mesh.NewPeerPools()
 	n.instances = mesh.NewInstances(c.Region, c.FailureDomain, n.directory, values)
 	n.budget = budget.New(c.Bounds.budget())
+	storeEra := gossip.NewStoreEra(c.Log)
 	n.gossiper = gossip.New(gossip.Config{
-		Directory: n.directory, Document: n.document, Sender: n.peerPools, Seeds: c.Seeds,
+		Directory: n.directory, Document: n.document, StoreEra: storeEra, Sender: n.peerPools, Seeds: c.Seeds,
 		OnRemoved: func(node string) { go n.syncer.Remove(context.Background(), node) }, Log: c.Log, Scope: scope,
 	})
 	n.syncer = storesync.New(storesync.Config{
-		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document,
+		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document, StoreEra: storeEra,
 		LastReceived: n.gossiper.LastReceived, ReachableFraction: n.gossiper.ReachableFraction, Settings: n.settings, SettingsChanged: n.settingsChanged, Log: c.Log, Scope: scope,
 	})
 	inFlight := mesh.NewInFlightCalls()
--- a/internal/settings/holder.go
+++ b/internal/settings/holder.go
@@ -105,6 +105,20 @@
 	if revision <= current.revision {
 		return errors.Wrapf(ErrOldRevision, "revision %d, %d is in force", revision, current.revision)
 	}
+	return h.installSnapshot(revision, objects)
+}
+
+// Replace is ApplySnapshot for a store that has returned from an older copy: it also puts a
+// revision in force that is not newer than the one in force.
+func (h *Holder) Replace(revision int64, objects []Object) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.installSnapshot(revision, objects)
+}
+
+// installSnapshot puts a snapshot of the whole tree in force. The caller holds mu.
+func (h *Holder) installSnapshot(revision int64, objects []Object) error {
+	current := h.state.Load()
 	all := make(map[string]Object, len(objects))
 	for _, key := range current.keys() {
 		all[key] = Object{Key: key, Revision: revision}
--- a/internal/storesync/change.go
+++ b/internal/storesync/change.go
@@ -9,4 +9,7 @@
 	objects []platform.Object
 	// snapshot is set when the objects are all objects under the prefix.
 	snapshot bool
+	// returned is set in the first snapshot after the store has returned from an older copy.
+	// Its version cannot be compared with those before.
+	returned bool
 }
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -39,6 +39,9 @@
 	// relistAfter is the number of consecutive failed watches after which the prefix is
 	// listed again.
 	relistAfter = 4
+	// spreadCallsPerSecond is the rate of the calls that all nodes together make after a
+	// return of the store, half of what the store accepts.
+	spreadCallsPerSecond = 1000
 )
 
 // Keys holds the keys and prefixes that the syncer follows in the store.
@@ -57,6 +60,7 @@
 	Keys      Keys
 	Directory *directory.Directory
 	Document  *gossip.Document
+	StoreEra  *gossip.StoreEra
 	// LastReceived returns when this node last received a message from a peer.
 	LastReceived func() time.Time
 	// ReachableFraction returns the fraction of the other nodes that this node can exchange
@@ -78,7 +82,6 @@
 	// entryDeleted is set when this node's entry was deleted from the store, until publish
 	// takes notice of it.
 	entryDeleted atomic.Bool
-	era          eraTracker
 	// publishSignal wakes publish.
 	publishSignal chan struct{}
 	// calls counts the calls to the store, errors those that failed, except conflicting
@@ -119,12 +122,9 @@
 	s.publish(ctx)
 }
 
-// observeEra takes notice of the era that the store has stated in its responses.
+// observeEra records the era that the store's responses so far have stated.
 func (s *Syncer) observeEra() {
-	era := s.config.Store.Era()
-	if s.era.observe(era) {
-		s.config.Log.Warn().Uint64("era", era).Msg("store has returned from an older copy")
-	}
+	s.config.StoreEra.Observe(s.config.Store.Era())
 }
 
 // poll reads the configuration at random intervals. The other nodes learn it from the one
@@ -154,36 +154,64 @@
 // only a few nodes watch it.
 func (s *Syncer) follow(ctx context.Context, prefix string, batch time.Duration, gossiped bool, apply func(change)) {
 	backoff := &callBackoff{log: s.config.Log, name: prefix}
+	// applied is set once a listing was applied, and appliedEra is the era of the latest one.
+	var applied bool
+	var appliedEra uint64
 	for ctx.Err() == nil {
-		s.calls.Inc(1)
-		listing, err := s.config.Store.List(ctx, prefix)
-		s.observeEra()
-		if err != nil {
+		if gossiped && applied {
+			s.awaitWatcherRole(ctx, prefix)
+		}
+		eraCtx, cancel := s.config.StoreEra.Context(ctx)
+		listing, era, err := s.list(eraCtx, prefix)
+		switch {
+		case err != nil && eraCtx.Err() == nil:
 			s.errors.Inc(1)
 			backoff.failed(err)
 			sleepJittered(ctx, backoff.delay())
-			continue
+		case err == nil:
+			backoff.succeeded()
+			apply(change{version: listing.Version, objects: listing.Objects, snapshot: true, returned: applied && era != appliedEra})
+			applied, appliedEra = true, era
+			s.watch(eraCtx, prefix, listing.Version, batch, gossiped, apply, backoff)
 		}
-		backoff.succeeded()
-		apply(change{version: listing.Version, objects: listing.Objects, snapshot: true})
-		s.watch(ctx, prefix, listing.Version, batch, gossiped, apply, backoff)
+		if eraCtx.Err() != nil {
+			s.spreadCalls(ctx)
+		}
+		cancel()
 	}
 }
 
+// list lists a prefix. It returns the era that was known before, or after the first call to
+// the store the era that this call has stated.
+func (s *Syncer) list(ctx context.Context, prefix string) (platform.Listing, uint64, error) {
+	era := s.config.StoreEra.Current()
+	s.calls.Inc(1)
+	listing, err := s.config.Store.List(ctx, prefix)
+	s.observeEra()
+	if era == 0 {
+		era = s.config.StoreEra.Current()
+	}
+	return listing, era, err
+}
+
+// spreadCalls waits for a random part of the time over which all nodes together spread the
+// calls that each of them makes after a return of the store.
+func (s *Syncer) spreadCalls(ctx context.Context) {
+	sleepJittered(ctx, time.Duration(s.config.Directory.Size())*time.Second/spreadCallsPerSecond)
+}
+
 // watch applies the changes under a prefix until the prefix has to be listed again or
 // ctx ends.
 func (s *Syncer) watch(ctx context.Context, prefix string, version int64, batch time.Duration, gossiped bool, apply func(change), backoff *callBackoff) {
-	listed := s.era.known.Load()
 	for failures := 0; failures < relistAfter && ctx.Err() == nil; {
-		if gossiped && s.awaitWatcherRole(ctx, prefix) {
+		if gossiped && !s.shouldWatch(prefix) {
 			return
 		}
 		s.calls.Inc(1)
 		events, err := s.config.Store.Watch(ctx, prefix, version)
 		s.observeEra()
-		if err == nil && s.era.known.Load() != listed {
-			s.config.Log.Warn().Str("for", prefix).Int64("after", version).Int64("store", events.Version).Msg("watch continued although the store has returned from an older copy")
-			listed = s.era.known.Load()
+		if ctx.Err() != nil {
+			return
 		}
 		if errors.Is(err, platform.ErrCompacted) {
 			s.config.Log.Info().Str("for", prefix).Int64("after", version).Msg("store history was compacted; listing the prefix again")
@@ -244,7 +272,7 @@
 // applySettings applies changes of the settings tree. Invalid settings of one scope are
 // refused without those of the others, and the scope keeps its previous settings.
 func (s *Syncer) applySettings(c change) {
-	if len(c.objects) == 0 {
+	if len(c.objects) == 0 && !c.returned {
 		return
 	}
 	changes := make([]settings.Object, 0, len(c.objects))
@@ -259,6 +287,9 @@
 	if c.snapshot {
 		apply = s.config.Settings.ApplySnapshot
 	}
+	if c.returned {
+		apply = s.config.Settings.Replace
+	}
 	if err := apply(c.version, changes); err != nil {
 		s.config.Log.Warn().Err(err).Int64("revision", c.version).Msg("settings refused")
 	}
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -49,7 +49,7 @@
 	n := &node{}
 	d := directory.New(directory.Entry{Node: name, Address: name}, time.Now)
 	n.Syncer = New(Config{
-		Store: store, Keys: testKeys(), Directory: d, Document: gossip.NewDocument(decodeVersion, zerolog.Nop()),
+		Store: store, Keys: testKeys(), Directory: d, Document: gossip.NewDocument(decodeVersion, zerolog.Nop()), StoreEra: gossip.NewStoreEra(zerolog.Nop()),
 		LastReceived: func() time.Time { return time.Unix(0, n.lastReceived.Load()) }, ReachableFraction: func() float64 { return 1 }, Settings: settings.NewHolder(), SettingsChanged: func() { n.changes.Add(1) },
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
--- a/internal/storesync/watchers.go
+++ b/internal/storesync/watchers.go
@@ -56,12 +56,9 @@
 	return min(1, count/(s.config.ReachableFraction()*float64(s.config.Directory.Size())))
 }
 
-// awaitWatcherRole blocks until this node has to watch a prefix or ctx ends. It reports
-// whether it waited, since changes may have been missed then.
-func (s *Syncer) awaitWatcherRole(ctx context.Context, prefix string) (waited bool) {
+// awaitWatcherRole blocks until this node has to watch a prefix or ctx ends.
+func (s *Syncer) awaitWatcherRole(ctx context.Context, prefix string) {
 	for ctx.Err() == nil && !s.shouldWatch(prefix) {
-		waited = true
 		sleepJittered(ctx, roleCheckInterval)
 	}
-	return waited
 }
