internal/storesync: an entry that the store has lost is written again

Nodes keep each other up to date, so nothing is seen until all of them start from the store, which then lists upstreams that had left and knows nothing of later ones, or forgets that one drains.

A node remembered that its entry was written, which a return of the store makes untrue without an error or an event. Evidence, on: TestEntryIsWrittenAgainAfterReturn fails (no entry 4 s after the return).

When the store's era rises, a node reads its own entry and writes it if it is missing or has another version. One read for each node and return, spread over one second for 1,000 nodes, and a write only where something was lost.

--- a/internal/gossip/store_era.go
+++ b/internal/gossip/store_era.go
@@ -16,6 +16,7 @@
 	known uint64
 	// returned is closed and replaced at each return of the store.
 	returned chan struct{}
+	onReturn []func()
 }
 
 // NewStoreEra returns a StoreEra that knows no era.
@@ -23,6 +24,12 @@
 	return &StoreEra{log: log, returned: make(chan struct{})}
 }
 
+// OnReturn registers a function that is called when the store is known to have returned from an
+// older copy. It must be called before the first Observe.
+func (e *StoreEra) OnReturn(f func()) {
+	e.onReturn = append(e.onReturn, f)
+}
+
 // Observe records an era. If another, lower one was known, the store has returned from an older
 // copy since.
 func (e *StoreEra) Observe(era uint64) {
@@ -41,6 +48,9 @@
 	e.returned = make(chan struct{})
 	e.mu.Unlock()
 	e.log.Warn().Uint64("era", era).Msg("store has returned from an older copy")
+	for _, f := range e.onReturn {
+		f()
+	}
 }
 
 // Current returns the highest known era, zero before the first.
--- a/internal/storesync/era_test.go
+++ b/internal/storesync/era_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// Guards against an entry that stays missing or old in the store after the store has lost its last write.
+func TestEntryIsWrittenAgainAfterReturn(t *testing.T) {
+	runWithStore(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		a := startNode(ctx, "a", store)
+		time.Sleep(time.Second)
+		var copies []platformtest.Copy
+		for _, state := range []directory.UpstreamState{directory.Ready, directory.Draining} {
+			copies = append(copies, store.Copy())
+			a.announce(state)
+			time.Sleep(time.Second)
+		}
+		for _, c := range copies {
+			returnFrom(store, c, time.Second)
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, stored(t, store, "a").Version, a.config.Directory.Self().Version)
+		}
+	})
+}
+
 // Guards against a node that learns of the return from a peer only, and waits for its watch.
 func TestSettingsAreListedAgainWhenPeerKnowsOfReturn(t *testing.T) {
 	runWithStore(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
@@ -114,6 +133,8 @@
 				assert.Equal(t, n.queue(), 7.0, "seed %d", seed)
 				assert.Equal(t, n.config.Document.Version(), uint64(version), "seed %d", seed)
 			}
+			assert.Equal(t, stored(t, store, "a").Version, a.config.Directory.Self().Version, "seed %d", seed)
+			assert.Equal(t, b.stateOf("a"), directory.Ready, "seed %d", seed)
 		})
 	}
 }
--- a/internal/storesync/publisher.go
+++ b/internal/storesync/publisher.go
@@ -14,12 +14,12 @@
 	// revision is the revision of the entry in the store, zero if there is none.
 	revision int64
 	// version is the Version of the entry that was written last, zero before the first write
-	// and after a deletion of the entry from the store.
+	// and after the store has lost or deleted the entry.
 	version uint64
 }
 
-// publish writes this node's entry after each change of the entry, and again after its
-// deletion from the store, until ctx ends. It writes nothing before the upstream has announced
+// publish writes this node's entry after each change of the entry, and again after the store
+// has lost or deleted it, until ctx ends. It writes nothing before the upstream has announced
 // itself.
 func (s *Syncer) publish(ctx context.Context) {
 	backoff := &callBackoff{log: s.config.Log, name: "local entry"}
@@ -31,6 +31,11 @@
 		}
 		var err error
 		switch {
+		case s.entryUncertain.Swap(false):
+			last, err = s.readPublication(ctx, self.Node)
+			if err != nil {
+				s.entryUncertain.Store(true)
+			}
 		case self.Upstream == nil || self.Version == last.version:
 			select {
 			case <-ctx.Done():
@@ -50,6 +55,26 @@
 	}
 }
 
+// readPublication reads this node's entry from the store after the store has returned from an
+// older copy.
+func (s *Syncer) readPublication(ctx context.Context, node string) (publication, error) {
+	s.spreadCalls(ctx)
+	s.calls.Inc(1)
+	o, err := s.config.Store.Get(ctx, s.key(node))
+	s.observeEra()
+	if err != nil && resultcode.From(err).Code == resultcode.ScopeNotFound {
+		return publication{}, nil
+	}
+	if err != nil {
+		return publication{}, err
+	}
+	var e directory.Entry
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return publication{revision: o.Version}, nil
+	}
+	return publication{revision: o.Version, version: e.Version}, nil
+}
+
 // write makes one conditional write of this node's entry and returns the publication after it.
 // A conflict is not an error: write then merges the entry in the store, which raises the
 // version of this node's entry if necessary, and the next write is conditional on it. It is an
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -82,6 +82,9 @@
 	// entryDeleted is set when this node's entry was deleted from the store, until publish
 	// takes notice of it.
 	entryDeleted atomic.Bool
+	// entryUncertain is set when the store has returned from an older copy and may have lost
+	// this node's entry, until publish has read it.
+	entryUncertain atomic.Bool
 	// publishSignal wakes publish.
 	publishSignal chan struct{}
 	// calls counts the calls to the store, errors those that failed, except conflicting
@@ -92,10 +95,15 @@
 
 // New returns a syncer that does nothing until Run is called.
 func New(config Config) *Syncer {
-	return &Syncer{
+	s := &Syncer{
 		config: config, publishSignal: make(chan struct{}, 1),
 		calls: config.Scope.Counter("store_calls"), errors: config.Scope.Counter("store_errors"),
 	}
+	config.StoreEra.OnReturn(func() {
+		s.entryUncertain.Store(true)
+		s.Publish()
+	})
+	return s
 }
 
 // Listed reports whether entries have been read from the store since the start: normally
