internal/h1: an endless response is given up before it fills the memory

What callers would have seen: an upstream in trouble that sends bytes without end in place of a response header takes its node down, with all calls that the node carries.

Cause: the header of a response was read without a bound, while that of a request has one; a body was bounded for each call, but not all of them together. The class is a bound that exists on one side of a connection only.

The header with all interim responses before it is now bounded to 64 KiB, and a body that states more than is accepted is not read. Bodies beyond 256 KiB reserve their bytes from 15 % of the node's memory while they are read from the upstream; what does not fit fails its own call, and smaller responses need no reservation. The connection is closed in each case.

Looked for elsewhere: the store's client and mustardwingd use net/http, which bounds the header to 10 MB by itself; the store's body is bounded to 8 MB.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +18,9 @@
 	// maxSkippedResponses bounds the late responses to earlier requests that are
 	// skipped during one exchange.
 	maxSkippedResponses = 4
+	// maxResponseHeaderBytes bounds the header of a response together with the interim
+	// responses before it.
+	maxResponseHeaderBytes = 64 << 10
 	// idleMargin is subtracted from the idle timeout that the server announces.
 	idleMargin = 700 * time.Millisecond
 )
@@ -26,9 +30,11 @@
 // clientConn is a connection to an upstream or a node. It carries one exchange at
 // a time.
 type clientConn struct {
-	pool   *Pool
-	conn   net.Conn
-	reader *bufio.Reader
+	pool *Pool
+	conn net.Conn
+	// limited bounds the bytes read for a header, reader buffers them.
+	limited *io.LimitedReader
+	reader  *bufio.Reader
 	// mustClose is set when the connection must not be reused.
 	mustClose bool
 	// idleSince is when the latest exchange ended, idleLimit how long the connection may
@@ -38,7 +44,8 @@
 }
 
 func newClientConn(p *Pool, c net.Conn) *clientConn {
-	return &clientConn{pool: p, conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: p.config.IdleTimeout}
+	limited := &io.LimitedReader{R: c}
+	return &clientConn{pool: p, conn: c, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), idleLimit: p.config.IdleTimeout}
 }
 
 // usable reports whether an idle connection may carry another request. A
@@ -133,15 +140,17 @@
 // readResponse returns the next response with its whole body and skips interim (1xx)
 // responses.
 func (c *clientConn) readResponse(r *Request) (*Response, error) {
-	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	parsed, err := c.readHeader(r)
 	if err != nil {
 		return nil, err
 	}
-	if parsed.StatusCode < http.StatusOK {
-		return c.readResponse(r)
-	}
 	c.reportHeader(r, parsed)
 	limit := c.pool.config.MaxResponseBytes
+	if parsed.Body != http.NoBody {
+		body := &reservingReader{reader: parsed.Body, account: &c.pool.bodyBytes}
+		defer body.release()
+		parsed.Body = body
+	}
 	body, err := readResponseBody(parsed, limit)
 	if err != nil {
 		return nil, errors.Wrapf(err, "body of a response with status %d", parsed.StatusCode)
@@ -155,17 +164,38 @@
 	return response, nil
 }
 
+// readHeader returns the next response, without its body, and skips interim (1xx) responses.
+func (c *clientConn) readHeader(r *Request) (*http.Response, error) {
+	c.limited.N = maxResponseHeaderBytes
+	for {
+		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil && c.limited.N <= 0 {
+			return nil, errors.Wrapf(errHeaderTooLarge, "response header: want at most %d bytes", maxResponseHeaderBytes)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if parsed.StatusCode >= http.StatusOK {
+			c.limited.N = math.MaxInt64
+			return parsed, nil
+		}
+	}
+}
+
 // readResponseBody returns a body of up to limit bytes. Of a longer one it returns the
 // first limit+1 bytes, by which the caller recognizes it.
 func readResponseBody(r *http.Response, limit int64) ([]byte, error) {
 	if r.Body == http.NoBody {
 		return nil, nil
 	}
-	if r.ContentLength >= 0 && r.ContentLength <= limit {
+	if r.ContentLength >= 0 && r.ContentLength <= min(limit, unreservedBodyBytes) {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
 		return body, err
 	}
+	if r.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
 	return io.ReadAll(io.LimitReader(r.Body, limit+1))
 }
 
--- /dev/null
+++ b/internal/h1/endless_test.go
@@ -0,0 +1,96 @@
+package h1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endless returns a script that sends a head and then a part again and again until the
+// connection is closed, which it signals.
+func endless(head, part string, closed chan<- struct{}) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		defer func() { closed <- struct{}{} }()
+		readRequest(r)
+		block := strings.Repeat(part, 1+(32<<10)/len(part))
+		for _, err := io.WriteString(c, head); err == nil; {
+			_, err = io.WriteString(c, block)
+		}
+	}
+}
+
+// Guards against an endless response that fills the memory, or is read until the deadline.
+func TestEndlessResponseIsGivenUp(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	for name, c := range map[string]struct {
+		head, part string
+		// want is nil where any error will do.
+		want error
+	}{
+		"status line":      {"HTTP/1.1 200 ", "O", errHeaderTooLarge},
+		"no response":      {"", "\x00", errHeaderTooLarge},
+		"header line":      {ok + "X-A: ", "a", errHeaderTooLarge},
+		"header lines":     {ok, "X-A: a\r\n", errHeaderTooLarge},
+		"interim":          {"", "HTTP/1.1 103 Early Hints\r\n\r\n", errHeaderTooLarge},
+		"body":             {ok + "\r\n", "a", errBodyTooLarge},
+		"length":           {ok + "Content-Length: 999999999999\r\n\r\n", "a", errBodyTooLarge},
+		"chunks":           {ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", errBodyTooLarge},
+		"small chunk line": {ok + "Transfer-Encoding: chunked\r\n\r\n1;", "x", nil},
+		"trailer":          {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: a\r\n", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{}, 1)
+			p := testPool(t, scriptedServer(t, endless(c.head, c.part, closed)))
+			started := time.Now()
+			_, err := do(p, request("1"))
+			assert.Assert(t, err != nil)
+			assert.Assert(t, time.Since(started) < testTimeout/2, "%s: %v", time.Since(started), err)
+			if c.want != nil {
+				assert.ErrorIs(t, err, c.want)
+			}
+			<-closed
+		})
+	}
+}
+
+// Guards against several large bodies that fill the memory together, and against small ones that fail beside them.
+func TestLargeBodiesShareTheirLimit(t *testing.T) {
+	const size = 1 << 20
+	release := make(chan struct{})
+	large := func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2000000\r\n\r\n"+strings.Repeat("a", size))
+		<-release
+	}
+	p := testPool(t, scriptedServer(t, large, large, large, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		respond(c, "1", "one")
+	}))
+	p.config.MaxResponseBytes = 4 * size
+	p.bodyBytes.limit = 2 * size
+	results := make(chan error)
+	for range 2 {
+		go func() {
+			_, err := do(p, request("1"))
+			results <- err
+		}()
+	}
+	for p.bodyBytes.reserved.Load() < 2*(size-unreservedBodyBytes) {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := do(p, request("1"))
+	assert.ErrorIs(t, err, errBufferLimit)
+	response, err := do(p, request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(response.Body), "one")
+	close(release)
+	for range 2 {
+		assert.Assert(t, <-results != nil)
+	}
+	assert.Equal(t, p.bodyBytes.reserved.Load(), int64(0))
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -25,6 +25,9 @@
 	MaxIdle int
 	// MaxResponseBytes is the largest accepted response body.
 	MaxResponseBytes int64
+	// MaxBufferedBytes bounds the total size of the response bodies that are being read,
+	// without the first unreservedBodyBytes of each. With zero it is not bounded.
+	MaxBufferedBytes int64
 	// DetectDeadPeer applies EnableDeadPeerDetection to every new connection.
 	DetectDeadPeer bool
 	// ResponseMatches reports whether a response belongs to a request; nil accepts
@@ -40,6 +43,8 @@
 type Pool struct {
 	config PoolConfig
 	dialer net.Dialer
+	// bodyBytes accounts for the bytes that MaxBufferedBytes bounds.
+	bodyBytes byteAccount
 
 	mu sync.Mutex
 	// idle holds the idle connections, the one idle longest first.
@@ -51,7 +56,10 @@
 
 // NewPool returns a pool without connections.
 func NewPool(config PoolConfig) *Pool {
-	return &Pool{config: config, dialer: net.Dialer{Timeout: config.DialTimeout, KeepAlive: -1}}
+	return &Pool{
+		config: config, dialer: net.Dialer{Timeout: config.DialTimeout, KeepAlive: -1},
+		bodyBytes: byteAccount{limit: config.MaxBufferedBytes},
+	}
 }
 
 // Do sends a request and returns its response. Errors are of type *SendError. The
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -33,7 +33,7 @@
 var (
 	errHeaderTooLarge = errors.New("header is larger than its limit")
 	errBodyTooLarge   = errors.New("body is larger than its limit")
-	errBufferLimit    = errors.New("buffered request bodies have reached their limit")
+	errBufferLimit    = errors.New("buffered bodies have reached their limit")
 )
 
 func waitAfterAcceptError() {
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -63,6 +63,9 @@
 	DrainGracePeriod time.Duration
 	// Values returns the settings in force for a service.
 	Values func(service string) settings.Values
+	// MaxBufferedBytes bounds the total size of the large response bodies that are being read
+	// from the upstream; see h1.PoolConfig.
+	MaxBufferedBytes int64
 	// OnUnreachable is called, without a lock held, with the id of the instance when
 	// the upstream becomes unreachable.
 	OnUnreachable func(id string)
@@ -131,7 +134,7 @@
 		c.rateLimit = newRateLimit(now, c.admission.SetRateLimit)
 		c.pool = h1.NewPool(h1.PoolConfig{
 			Address: a.Address, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout,
-			MaxIdle: a.Slots, MaxResponseBytes: maxResponseBytes, DetectDeadPeer: true, ResponseMatches: u.config.Protocol.SameCall,
+			MaxIdle: a.Slots, MaxResponseBytes: maxResponseBytes, MaxBufferedBytes: u.config.MaxBufferedBytes, DetectDeadPeer: true, ResponseMatches: u.config.Protocol.SameCall,
 			OnResponseHeader: func(_ *h1.Request, response *h1.Response) { u.observeNotice(c, response) },
 		})
 		u.current = c
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -34,7 +34,8 @@
 	// use; the rest is for kernel buffers and stacks.
 	heapFraction = 0.5
 	// bodyFraction is the fraction of the memory limit that request bodies may
-	// fill at each of the two listeners.
+	// fill at each of the two listeners, and large response bodies of the upstream while they
+	// are read.
 	bodyFraction = 0.15
 	// gcPercent is the value of GOGC. It trades memory, of which there is plenty, for
 	// processor time.
@@ -194,7 +195,7 @@
 	inFlight := mesh.NewInFlightCalls()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
 		Protocol: c.Protocol, InFlight: inFlight, DrainGracePeriod: c.Bounds.drainGracePeriod(),
-		Values: values, OnUnreachable: n.markUpstreamUnreachable, OnLeaving: n.markUpstreamLeaving, Log: c.Log, Scope: scope,
+		Values: values, OnUnreachable: n.markUpstreamUnreachable, OnLeaving: n.markUpstreamLeaving, MaxBufferedBytes: n.maxBufferedBytes(), Log: c.Log, Scope: scope,
 	})
 	n.outbound = mesh.NewOutbound(mesh.OutboundConfig{
 		Service: c.Service, InFlight: inFlight, Protocol: c.Protocol, Routes: n.document.Table,
@@ -214,10 +215,15 @@
 	if table := n.document.Table(); table != nil {
 		limits = table.Limits
 	}
-	limits.MaxBufferedBytes = int64(bodyFraction * float64(n.config.MemoryMiB<<20))
+	limits.MaxBufferedBytes = n.maxBufferedBytes()
 	return limits
 }
 
+// maxBufferedBytes returns the bound on the bodies of one kind that are in memory, zero for none.
+func (n *Node) maxBufferedBytes() int64 {
+	return int64(bodyFraction * float64(n.config.MemoryMiB<<20))
+}
+
 // Start begins to serve calls, to exchange with peer nodes and to follow the store, and
 // returns. The exchanges and the following of the store end with ctx; calls are served
 // until Shutdown.
