internal/storesync: the calls after a return are spread over all of their time

Found when the diff was read: the two calls of each node after a return of the store were delayed by half of the stated time to all of it, so that 16,000 nodes would have made 4,000 reads a second, twice what the store accepts. The delay is now uniform from zero on, and the time one second for 500 nodes: 1,000 reads a second, computed, not run at that size. go test -count=2 ./internal/storesync passes.

--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -39,9 +39,10 @@
 	// relistAfter is the number of consecutive failed watches after which the prefix is
 	// listed again.
 	relistAfter = 4
-	// spreadCallsPerSecond is the rate of the calls that all nodes together make after a
-	// return of the store, half of what the store accepts.
-	spreadCallsPerSecond = 1000
+	// spreadCallsPerSecond is the rate at which all nodes together list the settings, and at
+	// which they read their entries, after a return of the store. Both are half of the reads
+	// that the store accepts.
+	spreadCallsPerSecond = 500
 )
 
 // Keys holds the keys and prefixes that the syncer follows in the store.
@@ -205,7 +206,7 @@
 // spreadCalls waits for a random part of the time over which all nodes together spread the
 // calls that each of them makes after a return of the store.
 func (s *Syncer) spreadCalls(ctx context.Context) {
-	sleepJittered(ctx, time.Duration(s.config.Directory.Size())*time.Second/spreadCallsPerSecond)
+	sleep(ctx, rand.N(time.Duration(s.config.Directory.Size())*time.Second/spreadCallsPerSecond))
 }
 
 // watch applies the changes under a prefix until the prefix has to be listed again or
@@ -330,7 +331,12 @@
 // sleepJittered waits for a random duration between half of limit and limit, or until ctx
 // ends.
 func sleepJittered(ctx context.Context, limit time.Duration) {
-	timer := time.NewTimer(limit/2 + rand.N(limit/2))
+	sleep(ctx, limit/2+rand.N(limit/2))
+}
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
