internal/meshnode: an older entry from the store does not replace the latest drain

What callers would have seen: after a return of the store from an older copy, an upstream that had only stated in its responses that it leaves could get requests again, if its node had restarted since.

A node keeps the draining upstream of its earlier process's entry, and an older entry of another start replaced it. Evidence: TestUpstreamKeepsDrainingWhenOlderEntryReturns fails on the commit before (ready, want draining). Starts of upstreams are numbered by their time, so the later one is kept now; the test passes.

--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -139,7 +139,7 @@
 	// announceMu keeps announcements of the upstream and the adoption of an earlier one
 	// in order. withdrawn is the id of the instance that Withdraw was last called for,
 	// empty before the first call.
-	// draining is the draining upstream in the entry of an earlier process of this node, the
+	// draining is the latest draining upstream in an entry of an earlier process of this node, the
 	// zero value when there was none.
 	announceMu sync.Mutex
 	withdrawn  string
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -89,3 +89,15 @@
 	n.Announce(a, 0)
 	assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
 }
+
+// Guards against a draining upstream that becomes ready again because the store returns an older entry.
+func TestUpstreamKeepsDrainingWhenOlderEntryReturns(t *testing.T) {
+	n := newNode()
+	for i, incarnation := range []int64{7, 6} {
+		earlier := earlierEntry(5 - uint64(i))
+		earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, incarnation
+		n.directory.Merge([]directory.Entry{earlier})
+	}
+	n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0)
+	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
+}
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -79,7 +79,9 @@
 	u := earlier.Upstream
 	if u != nil && u.State == directory.Draining {
 		n.announceMu.Lock()
-		n.draining = *u
+		if u.Incarnation >= n.draining.Incarnation {
+			n.draining = *u
+		}
 		n.announceMu.Unlock()
 	}
 	if u == nil || u.State != directory.Ready || u.Service != n.config.Service || earlier.Removed || n.leaving.Load() {
