internal/h1: many endless bodies at once stay within the node's memory

What callers would have seen: an upstream with many slots that sends bodies without end to all of its callers at once takes its node down, although each single body is bounded.

Cause: a response body needed no reservation for its first 256 KiB, however many bodies were read at a time.

The part without a reservation is now at most what half of the account's limit leaves for each slot, so all bodies together are bounded by one and a half times that limit, whatever the number of slots.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -147,11 +147,11 @@
 	c.reportHeader(r, parsed)
 	limit := c.pool.config.MaxResponseBytes
 	if parsed.Body != http.NoBody {
-		body := &reservingReader{reader: parsed.Body, account: &c.pool.bodyBytes}
+		body := &reservingReader{reader: parsed.Body, account: &c.pool.bodyBytes, unreserved: c.pool.unreservedBodyBytes}
 		defer body.release()
 		parsed.Body = body
 	}
-	body, err := readResponseBody(parsed, limit)
+	body, err := readResponseBody(parsed, limit, c.pool.unreservedBodyBytes)
 	if err != nil {
 		return nil, errors.Wrapf(err, "body of a response with status %d", parsed.StatusCode)
 	}
@@ -183,12 +183,13 @@
 }
 
 // readResponseBody returns a body of up to limit bytes. Of a longer one it returns the
-// first limit+1 bytes, by which the caller recognizes it.
-func readResponseBody(r *http.Response, limit int64) ([]byte, error) {
+// first limit+1 bytes, by which the caller recognizes it. A stated length of up to unreserved
+// bytes is allocated before the body is read.
+func readResponseBody(r *http.Response, limit, unreserved int64) ([]byte, error) {
 	if r.Body == http.NoBody {
 		return nil, nil
 	}
-	if r.ContentLength >= 0 && r.ContentLength <= min(limit, unreservedBodyBytes) {
+	if r.ContentLength >= 0 && r.ContentLength <= min(limit, unreserved) {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
 		return body, err
--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 			results <- err
 		}()
 	}
-	for p.bodyBytes.reserved.Load() < 2*(size-unreservedBodyBytes) {
+	for p.bodyBytes.reserved.Load() < 2*(size-maxUnreservedBodyBytes) {
 		time.Sleep(time.Millisecond)
 	}
 	_, err := do(p, request("1"))
@@ -94,3 +95,35 @@
 	}
 	assert.Equal(t, p.bodyBytes.reserved.Load(), int64(0))
 }
+
+// Guards against many bodies, each within the unreserved size, that fill the memory together.
+func TestManyEndlessBodiesStayWithinTheirLimit(t *testing.T) {
+	const exchanges, limit = 16, 512 << 10
+	var sent atomic.Int64
+	scripts := make([]func(net.Conn, *bufio.Reader), exchanges)
+	for i := range scripts {
+		scripts[i] = func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n")
+			for block := strings.Repeat("a", 1<<10); err == nil; sent.Add(1 << 10) {
+				_, err = io.WriteString(c, block)
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	p := testPool(t, scriptedServer(t, scripts...))
+	p.config.MaxExchanges, p.config.MaxBufferedBytes = exchanges, limit
+	p = NewPool(p.config)
+	results := make(chan error, exchanges)
+	for range exchanges {
+		go func() {
+			_, err := do(p, request("1"))
+			results <- err
+		}()
+	}
+	assert.ErrorIs(t, <-results, errBufferLimit)
+	assert.Assert(t, sent.Load() <= 2*limit, "%d bytes sent before the first body was given up, want at most %d", sent.Load(), 2*limit)
+	for range exchanges - 1 {
+		assert.ErrorIs(t, <-results, errBufferLimit)
+	}
+}
--- a/internal/h1/harness_test.go
+++ b/internal/h1/harness_test.go
@@ -51,7 +51,7 @@
 	t.Helper()
 	response, err := http.ReadResponse(r, nil)
 	assert.NilError(t, err)
-	body, err := readResponseBody(response, 1<<20)
+	body, err := readResponseBody(response, 1<<20, 1<<20)
 	assert.NilError(t, err)
 	return response, string(body)
 }
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -25,6 +25,8 @@
 	MaxIdle int
 	// MaxResponseBytes is the largest accepted response body.
 	MaxResponseBytes int64
+	// MaxExchanges is the number of exchanges that run at a time, zero if it is not known.
+	MaxExchanges int
 	// MaxBufferedBytes bounds the total size of the response bodies that are being read,
 	// without the first unreservedBodyBytes of each. With zero it is not bounded.
 	MaxBufferedBytes int64
@@ -43,8 +45,10 @@
 type Pool struct {
 	config PoolConfig
 	dialer net.Dialer
-	// bodyBytes accounts for the bytes that MaxBufferedBytes bounds.
-	bodyBytes byteAccount
+	// bodyBytes accounts for the bytes that MaxBufferedBytes bounds, those of each response
+	// beyond the first unreservedBodyBytes.
+	bodyBytes           byteAccount
+	unreservedBodyBytes int64
 
 	mu sync.Mutex
 	// idle holds the idle connections, the one idle longest first.
@@ -58,7 +62,7 @@
 func NewPool(config PoolConfig) *Pool {
 	return &Pool{
 		config: config, dialer: net.Dialer{Timeout: config.DialTimeout, KeepAlive: -1},
-		bodyBytes: byteAccount{limit: config.MaxBufferedBytes},
+		bodyBytes: byteAccount{limit: config.MaxBufferedBytes}, unreservedBodyBytes: unreservedBodyBytes(config),
 	}
 }
 
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -134,7 +134,7 @@
 		c.rateLimit = newRateLimit(now, c.admission.SetRateLimit)
 		c.pool = h1.NewPool(h1.PoolConfig{
 			Address: a.Address, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout,
-			MaxIdle: a.Slots, MaxResponseBytes: maxResponseBytes, MaxBufferedBytes: u.config.MaxBufferedBytes, DetectDeadPeer: true, ResponseMatches: u.config.Protocol.SameCall,
+			MaxIdle: a.Slots, MaxExchanges: a.Slots, MaxResponseBytes: maxResponseBytes, MaxBufferedBytes: u.config.MaxBufferedBytes, DetectDeadPeer: true, ResponseMatches: u.config.Protocol.SameCall,
 			OnResponseHeader: func(_ *h1.Request, response *h1.Response) { u.observeNotice(c, response) },
 		})
 		u.current = c
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +126,25 @@
 	}
 }
 
+// Guards against an endless response header that fills the memory.
+func TestEndlessResponseHeaderIsGivenUp(t *testing.T) {
+	u := announced(t, scriptedUpstream(t, func(e scriptedConn) {
+		_, _ = e.readRequest()
+		e.write("HTTP/1.1 200 OK\r\n")
+		lines := strings.Repeat("X-A: a\r\n", 1<<10)
+		for {
+			if _, err := e.Write([]byte(lines)); err != nil {
+				return
+			}
+		}
+	}), false)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, run, err := u.Send(ctx, metadata(true), request(t, http.MethodGet, ""))
+	assert.Equal(t, resultcode.From(err).Code, resultcode.ConnectionLost, "%v", err)
+	assert.Equal(t, run, resultcode.Unknown)
+}
+
 // Guards against returning a response that belongs to another request.
 func TestResponseOfAnotherRequestIsDropped(t *testing.T) {
 	u := announced(t, scriptedUpstream(t, func(e scriptedConn) {
