internal/client: an edit during which the store has returned says so

What operators would have seen: an edit with the command-line client that is under way while the platform's store returns from an older copy could replace another operator's edit without a word, or be sent again over it after a lost response.

Evidence: TestEditAcrossReturnOfStoreIsReported failed before; the output was that of any other edit.

Versions now carry the era in which they were read, and only equal eras are compared. An object that has another era than before is checked for conflicting fields, as after a race. A write that succeeded in a later era than its read cannot be undone, since the platform's interface has no condition on the era; the result says so and names the command that shows the history. The test passes, and go test ./internal/client.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -32,11 +32,26 @@
 // storedScope is the object of one scope as read from the store.
 type storedScope struct {
 	name settings.ScopeName
-	// version is zero when the store has no object.
+	// version is zero when the store has no object. Versions of different eras cannot be
+	// compared.
 	version int64
+	era     uint64
 	scope   *settings.Scope
 }
 
+// sameVersion reports whether both are the same version of the object.
+func (s storedScope) sameVersion(other storedScope) bool {
+	return s.version == other.version && s.era == other.era
+}
+
+// era returns the highest era that the store has stated so far, zero if it states none.
+func (c *Client) era() uint64 {
+	if s, ok := c.Store.(platform.EraStore); ok {
+		return s.Era()
+	}
+	return 0
+}
+
 // read returns the object of a scope, or an empty one when the store has none. An
 // object that cannot be decoded is an error.
 func (c *Client) read(ctx context.Context, name settings.ScopeName) (storedScope, error) {
@@ -44,7 +59,9 @@
 	if err != nil && resultcode.From(err).Code != resultcode.ScopeNotFound {
 		return storedScope{}, err
 	}
-	return decodeScope(name, object)
+	stored, err := decodeScope(name, object)
+	stored.era = c.era()
+	return stored, err
 }
 
 // list reads the objects under a prefix. A response without a list of objects is
@@ -70,6 +87,7 @@
 type tree struct {
 	// revision is the highest version of any object.
 	revision int64
+	era      uint64
 	// objects holds the valid objects by the scope of the object.
 	objects map[settings.ScopeName]storedScope
 	// invalid holds the objects that nodes refuse.
@@ -88,7 +106,7 @@
 	if err != nil {
 		return tree{}, err
 	}
-	t := tree{objects: make(map[settings.ScopeName]storedScope)}
+	t := tree{era: c.era(), objects: make(map[settings.ScopeName]storedScope)}
 	for _, object := range listing.Objects {
 		t.revision = max(t.revision, object.Version)
 		name, err := settings.ParseKey(object.Key)
@@ -100,6 +118,7 @@
 			t.invalid = append(t.invalid, invalidObject{name, object.Version, resultcode.From(err)})
 			continue
 		}
+		stored.era = t.era
 		t.objects[name] = stored
 	}
 	return t, nil
@@ -123,10 +142,10 @@
 	}
 	for _, object := range t.invalid {
 		if object.name == name {
-			return storedScope{name: name, version: object.version, scope: emptyScope()}, object.err
+			return storedScope{name: name, version: object.version, era: t.era, scope: emptyScope()}, object.err
 		}
 	}
-	return storedScope{name: name, scope: emptyScope()}, nil
+	return storedScope{name: name, era: t.era, scope: emptyScope()}, nil
 }
 
 func emptyScope() *settings.Scope {
--- a/internal/client/edit.go
+++ b/internal/client/edit.go
@@ -30,8 +30,11 @@
 	Merged bool `json:"merged,omitempty"`
 	// Recovered reports that the response to an attempt was lost and that the write took
 	// effect nevertheless: the object contains its write id, or a later attempt succeeded.
-	Recovered bool           `json:"recovered,omitempty"`
-	Changes   []ChangeResult `json:"changes"`
+	Recovered bool `json:"recovered,omitempty"`
+	// StoreReturned reports that the store has returned from an older copy between the read
+	// and the write. The write may have replaced another operator's edit.
+	StoreReturned bool           `json:"store_returned,omitempty"`
+	Changes       []ChangeResult `json:"changes"`
 }
 
 // writeOutcome is the known outcome of one attempt to write an object.
@@ -61,7 +64,7 @@
 	// uncertainErr is the error of the latest attempt that may still take effect.
 	var uncertainErr error
 	for attempt := range maxWriteAttempts {
-		if exact && current.version != seen.version {
+		if exact && !current.sameVersion(seen) {
 			return Written{}, versionConflict(current, seen.version, changes)
 		}
 		if err := checkUnchanged(seen, current, changes); err != nil {
@@ -76,6 +79,7 @@
 		case writeApplied:
 			result.Revision = object.version
 			result.Recovered = err != nil || uncertainErr != nil
+			result.StoreReturned = object.era != current.era
 			return result, nil
 		case writeSuperseded:
 			// No write sent so far can take effect any more.
@@ -106,7 +110,7 @@
 func (c *Client) attemptWrite(ctx context.Context, current storedScope, value []byte, writeID string) (writeOutcome, storedScope, error) {
 	object, err := c.Store.Update(ctx, current.name.Key(), current.version, value)
 	if err == nil {
-		return writeApplied, storedScope{name: current.name, version: object.Version}, nil
+		return writeApplied, storedScope{name: current.name, version: object.Version, era: c.era()}, nil
 	}
 	coded := resultcode.From(err)
 	if coded.Code != resultcode.SettingsConflict && (coded.Execution == resultcode.NotRun || !mayHaveTakenEffect(coded.Code)) {
@@ -119,7 +123,7 @@
 	switch {
 	case stored.scope.HasWriteID(writeID):
 		return writeApplied, stored, err
-	case stored.version == current.version:
+	case stored.sameVersion(current):
 		return writeUnresolved, storedScope{}, err
 	}
 	return writeSuperseded, stored, err
@@ -155,7 +159,7 @@
 // checkUnchanged returns a ConflictError with the edited fields that another operator
 // changed between the objects seen and current, or nil when there are none.
 func checkUnchanged(seen, current storedScope, changes []settings.Change) error {
-	if seen.version == current.version {
+	if seen.sameVersion(current) {
 		return nil
 	}
 	conflict := &ConflictError{Scope: seen.name.String(), Version: current.version, SeenVersion: seen.version}
--- a/internal/client/edit_test.go
+++ b/internal/client/edit_test.go
@@ -52,6 +52,31 @@
 	assert.Assert(t, !strings.Contains(ana.mustRun(t, "history", "service/search"), "ana's"))
 }
 
+// Guards against an edit that silently replaces another operator's when both have read the same
+// version, in different eras of the store.
+func TestEditAcrossReturnOfStoreIsReported(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		store := platformtest.New(1)
+		hooked := &hookStore{Store: store}
+		ana, ivo := newTestApp(hooked), newTestApp(store)
+		empty := store.Copy()
+		ana.mustRun(t, "set", "service/search", "moves=1", "-reason", "start")
+		hooked.beforeUpdate = func() {
+			store.Restore(empty)
+			ivo.mustRun(t, "set", "service/search", "retries=2", "-reason", "ivo's")
+			if lost {
+				store.SetFaults(platformtest.Faults{LateWriteFraction: 1, LateWriteMs: 3_600_000})
+			}
+		}
+		status, stdout, stderr := ana.run("set", "service/search", "retries=1", "-reason", "ana's")
+		if lost {
+			assert.Equal(t, status, 4, stderr)
+			continue
+		}
+		assert.Assert(t, strings.Contains(stdout, "the store has returned from an older copy"), "%s%s", stdout, stderr)
+	}
+}
+
 // Guards against an edit that overwrites another operator's concurrent decision
 // about the same field, also when that decision keeps the value for another reason
 // or removes the override.
--- a/internal/client/harness_test.go
+++ b/internal/client/harness_test.go
@@ -80,6 +80,9 @@
 	return s.Store.Update(ctx, key, ifVersion, value)
 }
 
+// Era implements platform.EraStore.
+func (s *hookStore) Era() uint64 { return s.Store.(platform.EraStore).Era() }
+
 func put(t *testing.T, store *platformtest.Store, key, value string) {
 	t.Helper()
 	version := int64(0)
--- a/internal/client/set.go
+++ b/internal/client/set.go
@@ -160,6 +160,9 @@
 		if written.Recovered {
 			fmt.Fprintf(w, "%s: the response to the write was lost; the write took effect\n", written.Scope)
 		}
+		if written.StoreReturned {
+			fmt.Fprintf(w, "%s: the store has returned from an older copy during the edit, which may have replaced another operator's; see mustardwing history %s\n", written.Scope, written.Scope)
+		}
 		revision = max(revision, written.Revision)
 	}
 	if r.Unchanged > 0 {
