internal/admission: a huge rate limit cannot make the queue's length negative

What callers could have seen: on processors that turn a number beyond the range of integers into the lowest one, an upstream that states a limit above some 1e19 requests a second gets calls only while a slot is free; calls beyond that are shed instead of queued.

Cause: the number of calls that may start within the queue timeout was converted to an integer before the queue limit bounded it, and the language leaves the result of such a conversion to the processor. Not reproduced: the processors here return the highest integer, with which the minimum is right, so TestHugeRateLimitLeavesQueueLimit passes here before and after. The minimum is now taken first, which is right on any processor. Looked for elsewhere: usableSlots bounds before it converts, and durations are divided by at least 0.5 calls a second.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -154,7 +154,7 @@
 func (c *core) queueLimit(now time.Time) int {
 	limit := c.config.queueLimit()
 	if c.rate.limited {
-		limit = min(limit, c.rate.within(now, c.config.QueueTimeout))
+		limit = int(min(float64(limit), c.rate.within(now, c.config.QueueTimeout)))
 	}
 	return limit
 }
--- a/internal/admission/rate_gate.go
+++ b/internal/admission/rate_gate.go
@@ -81,8 +81,9 @@
 	return time.Duration(missing/g.rate()*float64(time.Second)) + 1
 }
 
-// within returns how many calls may start from now until the end of the given period.
-func (g *rateGate) within(now time.Time, period time.Duration) int {
+// within returns how many calls may start from now until the end of the given period. The
+// result may exceed any integer.
+func (g *rateGate) within(now time.Time, period time.Duration) float64 {
 	g.refill(now)
-	return int(max(0, g.tokens+period.Seconds()*g.rate()))
+	return max(0, g.tokens+period.Seconds()*g.rate())
 }
--- a/internal/admission/rate_gate_test.go
+++ b/internal/admission/rate_gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -103,3 +104,13 @@
 		assert.Assert(t, parsed.RateLimit == nil, "%q", text)
 	}
 }
+
+// Guards against a queue that a huge rate limit makes shorter, or of negative length.
+func TestHugeRateLimitLeavesQueueLimit(t *testing.T) {
+	c := newCore(Config{Slots: 4, QueuePerSlot: 1, QueueTimeout: 250 * time.Millisecond, LongShare: 0.5})
+	want := c.queueLimit(start)
+	for _, limit := range []float64{1e6, 1e19, 1e300, math.MaxFloat64} {
+		c.setRateLimit(start, &limit)
+		assert.Equal(t, c.queueLimit(start), want, "%g", limit)
+	}
+}
