internal/mesh: log lines of refused calls name the rate limit

What operators saw: at an upstream that states a limit, a refused call looked in the log like one at an instance with one slot; docs/OPERATIONS.md names the field "limit" of "load" as the way to tell them apart, and the line did not have it.

Cause: the load that instances report got the limit in, its form in the log did not. TestLoadInLogNamesTheRateLimit failed before and passes.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,16 +1,20 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/mustardwing/mustardwing/internal/admission"
 	"github.com/mustardwing/mustardwing/internal/budget"
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/directory"
@@ -372,6 +376,14 @@
 	assert.Equal(t, callRestarted("c"), "yes")
 }
 
+// Guards against log lines of refused calls that do not name the rate limit.
+func TestLoadInLogNamesTheRateLimit(t *testing.T) {
+	var log bytes.Buffer
+	logger, limit := zerolog.New(&log), 2.5
+	logger.Info().Object("load", loadField{admission.Load{Slots: 1, RateLimit: &limit}}).Send()
+	assert.Assert(t, strings.Contains(log.String(), `"limit":2.5`), log.String())
+}
+
 func leaving(_ context.Context, r *h1.Request) *h1.Response {
 	response := executed(r, http.StatusOK, "")
 	response.Header.Set("Test-Leaving", "1")
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -438,6 +438,9 @@
 func (f loadField) MarshalZerologObject(e *zerolog.Event) {
 	e.Int("running", f.Running).Int("queued", f.Queued).Int("slots", f.Slots).
 		Str("level", f.Level.Priority.String()).Uint32("level_rank", f.Level.Rank)
+	if f.RateLimit != nil {
+		e.Float64("limit", *f.RateLimit)
+	}
 }
 
 func loadOf(c *instance) loadField {
