--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -82,8 +82,8 @@
 }
 
 // Update applies the current entries of the directory and deletes old suspicions, rate limits
-// and incarnations that leave. A
-// service that the directory no longer lists keeps its balancer, without instances.
+// and incarnations that leave. A service that the directory no longer lists keeps its balancer,
+// without instances.
 func (s *Instances) Update(now time.Time) {
 	entries := s.directory.All()
 	services := make(map[string][]balancer.Instance)
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -137,13 +137,14 @@
 	// leaving is set once Shutdown has begun.
 	leaving atomic.Bool
 	// announceMu keeps announcements of the upstream and the adoption of an earlier one
-	// in order. withdrawn is the id of the instance that Withdraw was last called for,
-	// empty before the first call.
-	// draining is the latest draining upstream in an entry of an earlier process of this node, the
-	// zero value when there was none.
+	// in order.
 	announceMu sync.Mutex
-	withdrawn  string
-	draining   directory.Upstream
+	// withdrawn is the id of the instance that Withdraw was last called for, empty before
+	// the first call.
+	withdrawn string
+	// drainedBefore is the latest upstream that an entry of an earlier process of this node
+	// shows as draining, the zero value when there is none.
+	drainedBefore directory.Upstream
 	// wasReady is set once the node has known a ready instance of every service that has a
 	// route.
 	wasReady atomic.Bool
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -23,7 +23,7 @@
 // leftBefore reports whether the entry of an earlier process of this node says that the
 // announced incarnation drains. announceMu must be held.
 func (n *Node) leftBefore(a mesh.Announcement) bool {
-	return n.draining.Incarnation != 0 && n.draining.ID == a.ID && n.draining.Incarnation == a.Incarnation
+	return n.drainedBefore.Incarnation != 0 && n.drainedBefore.ID == a.ID && n.drainedBefore.Incarnation == a.Incarnation
 }
 
 // Withdraw marks an instance as draining by its id alone, since it may not have announced
@@ -79,8 +79,8 @@
 	u := earlier.Upstream
 	if u != nil && u.State == directory.Draining {
 		n.announceMu.Lock()
-		if u.Incarnation >= n.draining.Incarnation {
-			n.draining = *u
+		if u.Incarnation >= n.drainedBefore.Incarnation {
+			n.drainedBefore = *u
 		}
 		n.announceMu.Unlock()
 	}
