internal/storesync: the watchers of a large fleet list at once after a return

What callers would have seen in a fleet of 16,000 nodes, not in today's: after the platform's store has returned from an older copy, a configuration that an operator wrote would have come into force after up to half a minute, where 7 s are the target.

Cause: the calls after a return were spread over one second for 500 nodes, so that each node may list the settings. The same wait held for the configuration and the entries, although only the six nodes that watch them for all list these: the first of six random waits of up to 32 s, computed, is 4.6 s in the mean and over 7 s in one of four returns. Evidence: TestWatchersOfLargeFleetListAtOnceAfterReturn failed before (revision 2 two seconds after the return, want 3). Today's largest deployment has 84 nodes and waited 0.17 s at most.

Prefixes that a few nodes watch for all are now listed at once. The test passes with ten returns, the package twice and once with -race. Random polls of the configuration, which each node makes besides, were left out of the test.

--- a/internal/storesync/era_test.go
+++ b/internal/storesync/era_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,6 +99,31 @@
 	})
 }
 
+// Guards against a configuration that a large fleet learns late because its watchers wait after a return of the store.
+func TestWatchersOfLargeFleetListAtOnceAfterReturn(t *testing.T) {
+	runWithStore(t, func(ctx context.Context, t *testing.T, store *platformtest.Store) {
+		n := newNode("a", store)
+		peers := make([]directory.Entry, 16000)
+		for i := range peers {
+			peers[i] = directory.Entry{Node: fmt.Sprint(i), Version: 1, Address: fmt.Sprint(i)}
+		}
+		n.config.Directory.Merge(peers)
+		var latest atomic.Int64
+		go n.follow(ctx, "config/", 0, true, func(c change) { latest.Store(c.version) })
+		for range 10 {
+			c := store.Copy()
+			write(t, store, "config/main", "1")
+			time.Sleep(time.Second)
+			returnFrom(store, c, 100*time.Millisecond)
+			write(t, store, "config/main", "2")
+			o, err := store.Get(ctx, "config/main")
+			assert.NilError(t, err)
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, latest.Load(), o.Version)
+		}
+	})
+}
+
 // Guards against nodes that differ from the store for good after it has returned from older copies.
 func TestNodesConvergeAfterRandomReturns(t *testing.T) {
 	for seed := range uint64(40) {
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -183,7 +183,7 @@
 			applied, appliedEra = true, era
 			s.watch(eraCtx, prefix, listing.Version, batch, gossiped, apply, backoff)
 		}
-		if eraCtx.Err() != nil {
+		if eraCtx.Err() != nil && !gossiped {
 			s.spreadCalls(ctx)
 		}
 		cancel()
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -46,6 +46,13 @@
 }
 
 func startNode(ctx context.Context, name string, store platform.EraStore) *node {
+	n := newNode(name, store)
+	go n.Run(ctx)
+	return n
+}
+
+// newNode returns a node that makes no calls to the store yet.
+func newNode(name string, store platform.EraStore) *node {
 	n := &node{}
 	d := directory.New(directory.Entry{Node: name, Address: name}, time.Now)
 	n.Syncer = New(Config{
@@ -60,7 +67,6 @@
 			}
 		}
 	})
-	go n.Run(ctx)
 	return n
 }
 
