internal/mesh: a failure that states no rate limit does not end it

What an upstream in need would have seen: when one of its failures or rejections lacks the limit, its node starts the queued calls and those of the next instants at once, until a response states the limit again.

Cause: the absence of the limit in any response was taken for its end. An upstream in trouble may fail before it gets to state its limit, so a failure says nothing about it. The class is absence taken for a statement.

Only a response below status 400 now ends the limit; any response that states one sets it. An upstream that only fails gets at least one call in two seconds, so the limit ends with its first success.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -372,10 +372,27 @@
 	}
 	assert.Equal(t, callRestarted("b"), "no")
 	assert.Equal(t, up.received.Load(), int64(1))
-	restarted.current.rateLimit.observe(time.Now(), Notice{})
+	restarted.current.rateLimit.observe(time.Now(), Notice{}, false)
 	assert.Equal(t, callRestarted("c"), "yes")
 }
 
+// Guards against a rate limit that ends with a failure that does not state it.
+func TestFailureDoesNotEndTheRateLimit(t *testing.T) {
+	up := &testUpstream{}
+	up.handler = func(ctx context.Context, r *h1.Request) *h1.Response {
+		if up.received.Load() == 1 {
+			return limiting("2")(ctx, r)
+		}
+		return executed(r, http.StatusInternalServerError, "")
+	}
+	c := newCluster(t, nonIdempotent(), up)
+	for c.call(t.Context(), "a").Status != http.StatusInternalServerError {
+		time.Sleep(50 * time.Millisecond)
+	}
+	limit := c.upstreams["i-0"].current.admission.Load().RateLimit
+	assert.Assert(t, limit != nil && *limit == 2, "%v", limit)
+}
+
 // Guards against log lines of refused calls that do not name the rate limit.
 func TestLoadInLogNamesTheRateLimit(t *testing.T) {
 	var log bytes.Buffer
--- a/internal/mesh/rate_limit.go
+++ b/internal/mesh/rate_limit.go
@@ -14,7 +14,7 @@
 	mu sync.Mutex
 	// perSecond is the limit in force, nil when there is none.
 	perSecond *float64
-	// stated is set once a response of the upstream has stated whether there is a limit.
+	// stated is set once a response of the upstream has shown whether there is a limit.
 	stated bool
 	// since is when the upstream began or ceased to state a limit, at first when it became
 	// known.
@@ -36,10 +36,11 @@
 	return &rateLimit{apply: apply, since: now}
 }
 
-// observe applies what a response states. It returns a change when a limit begins or ends. A
-// limit that cannot be read leaves the one in force.
-func (l *rateLimit) observe(now time.Time, n Notice) (rateLimitChange, bool) {
-	if n.UnreadableRateLimit {
+// observe applies what a response states. It returns a change when a limit begins or ends. The
+// limit in force stays if the response states one that cannot be read, or is a failure that
+// states none, since an upstream in trouble may fail before it gets to state its limit.
+func (l *rateLimit) observe(now time.Time, n Notice, failure bool) (rateLimitChange, bool) {
+	if n.UnreadableRateLimit || failure && n.RateLimit == nil {
 		return rateLimitChange{}, false
 	}
 	l.mu.Lock()
@@ -49,7 +50,7 @@
 }
 
 // adopt applies the limit that another node has learned, unless a response of the upstream has
-// stated since the start of this node whether there is one.
+// shown since the start of this node whether there is one.
 func (l *rateLimit) adopt(now time.Time, perSecond *float64) (rateLimitChange, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -341,7 +341,7 @@
 		return
 	}
 	notice := u.config.Protocol.DecodeNotice(response.Header)
-	if change, changed := c.rateLimit.observe(time.Now(), notice); changed {
+	if change, changed := c.rateLimit.observe(time.Now(), notice, response.Status >= http.StatusBadRequest); changed {
 		u.logRateLimit(c, change, notice.RateLimit)
 	}
 	if notice.Leaving {
