internal/h1: TestEndlessResponseIsGivenUp bounds by the deadline, not by speed

Traced: the body was given up by its size, after 1,048,577 chunks of one byte, each decoded by itself; so the bound of half of the deadline measured the speed of the machine, which design.md section 1.7 rules out.

With the bound of the header taken out it still fails: "read until the deadline", for endless interim responses.

--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -47,10 +47,10 @@
 		t.Run(name, func(t *testing.T) {
 			closed := make(chan struct{}, 1)
 			p := testPool(t, scriptedServer(t, endless(c.head, c.part, closed)))
-			started := time.Now()
-			_, err := do(p, request("1"))
+			deadline := time.Now().Add(2 * testTimeout)
+			_, err := p.Do(t.Context(), request("1"), deadline)
 			assert.Assert(t, err != nil)
-			assert.Assert(t, time.Since(started) < testTimeout/2, "%s: %v", time.Since(started), err)
+			assert.Assert(t, time.Now().Before(deadline), "read until the deadline: %v", err)
 			if c.want != nil {
 				assert.ErrorIs(t, err, c.want)
 			}
