internal/h1: a repeated refusal is not taken for the response to the next attempt

Cause: a response had to name its request by the call's id, and all attempts at a call carry the same id. After an upstream's refusal the next attempt could go out on the same kept connection, where a copy of that refusal was accepted as its response: the caller was told "not run" while the upstream ran the call, or the call ran a second time.

Ruled out: copies that belong to another call (skipped, and the connection is closed), copies while the connection is idle or behind a response (found before reuse), parts of a copy (the outcome is unknown); each has a test. On connections between nodes only our own server writes, one response a request.

Before: TestRepeatedRefusalIsNotTheResponseToTheNextAttempt got 503 for a call that ran, TestRepeatedRejectionDoesNotHideARun counted 2 runs of a call that is not idempotent. After: both pass.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -35,6 +35,8 @@
 	// limited bounds the bytes read for a header, reader buffers them.
 	limited *io.LimitedReader
 	reader  *bufio.Reader
+	// failed holds the calls that got a response with an error status on this connection.
+	failed failedCalls
 	// mustClose is set when the connection must not be reused.
 	mustClose bool
 	// idleSince is when the latest exchange ended, idleLimit how long the connection may
@@ -74,6 +76,9 @@
 	if !stop() {
 		c.mustClose = true
 	}
+	if response.Status >= http.StatusBadRequest && !c.failed.add(r.ID) {
+		c.mustClose = true
+	}
 	select {
 	case err := <-written:
 		c.mustClose = c.mustClose || err != nil
--- a/internal/h1/message.go
+++ b/internal/h1/message.go
@@ -21,6 +21,11 @@
 	Body   []byte
 	// Arrived is when the first byte of the request was read. Only a Server sets it.
 	Arrived time.Time
+	// ID identifies the call to which the request belongs, empty if it is not known. Another
+	// attempt at the call has the same ID. A Pool sends it on a connection on which no response
+	// with an error status to this call has arrived, since a copy of that response could not be
+	// told from the response to the new attempt.
+	ID string
 	// NonIdempotent is set on a request that must not be sent twice. A Pool sends it
 	// on a recently used connection or on a new one, since an upstream may have closed
 	// a connection that was idle.
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -69,7 +69,7 @@
 // Do sends a request and returns its response. Errors are of type *SendError. The
 // deadline bounds the whole exchange.
 func (p *Pool) Do(ctx context.Context, r *Request, deadline time.Time) (*Response, error) {
-	c, err := p.get(ctx, deadline, r.NonIdempotent)
+	c, err := p.get(ctx, deadline, r)
 	if err != nil {
 		return nil, &SendError{Sent: false, Cause: err}
 	}
@@ -83,9 +83,9 @@
 }
 
 // get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, deadline time.Time, nonIdempotent bool) (*clientConn, error) {
+func (p *Pool) get(ctx context.Context, deadline time.Time, r *Request) (*clientConn, error) {
 	for {
-		c := p.popIdle(nonIdempotent)
+		c := p.popIdle(r)
 		if c == nil {
 			return p.dial(ctx, deadline)
 		}
@@ -96,26 +96,41 @@
 	}
 }
 
-// popIdle removes and returns the connection that has been idle longest, so that
-// all are used before the server closes them. For a non-idempotent request it
-// returns the most recently used one if that was idle for at most
-// nonIdempotentIdleLimit. It returns nil if there is no such connection.
-func (p *Pool) popIdle(nonIdempotent bool) *clientConn {
+// popIdle removes and returns the connection that has been idle longest, so that all are used
+// before the server closes them. For a non-idempotent request it returns the most recently
+// used one if that was idle for at most nonIdempotentIdleLimit. Connections on which the call
+// of the request has failed are left out. It returns nil if there is no such connection.
+func (p *Pool) popIdle(r *Request) *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
+	if !r.NonIdempotent {
+		for i, c := range p.idle {
+			if !c.failed.contains(r.ID) {
+				return p.takeIdle(i)
+			}
+		}
 		return nil
 	}
-	if !nonIdempotent {
-		c := p.idle[0]
-		p.idle = p.idle[1:]
-		return c
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if time.Since(c.idleSince) > nonIdempotentIdleLimit {
+			return nil
+		}
+		if !c.failed.contains(r.ID) {
+			return p.takeIdle(i)
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	if time.Since(c.idleSince) > nonIdempotentIdleLimit {
-		return nil
+	return nil
+}
+
+// takeIdle removes and returns an idle connection. It is called with mu held.
+func (p *Pool) takeIdle(i int) *clientConn {
+	c := p.idle[i]
+	if i == 0 {
+		p.idle = p.idle[1:]
+	} else {
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 	}
-	p.idle = p.idle[:len(p.idle)-1]
 	return c
 }
 
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -288,7 +288,7 @@
 		return nil, outcome{Code: resultcode.DeadlineInsufficient, Execution: resultcode.NotRun, Detail: "no time is left before the deadline after queueing"}
 	}
 	u.config.Protocol.EncodeCall(r.Header, UpstreamInfo{Timeout: remaining, Instance: p.Instance, Caller: p.Caller})
-	r.NonIdempotent = !p.Idempotent
+	r.ID, r.NonIdempotent = p.ID, !p.Idempotent
 	c.rateLimit.countCall(p.Retry)
 	response, err := c.pool.Do(ctx, r, deadline)
 	if err != nil {
