internal/directory, internal/storesync, internal/gossip, platform: an odd entry is refused alone

Cause: the store's pages were decoded as a whole, so one entry nested deeper than the JSON decoder goes hid all others from every node, in listings, watches and conflicts. Entries were not checked: a port or slots out of range were used and sent on, and a version at the top of its range made the owner's next version overflow to zero, so that nobody took it any more. An entry that another writer had spoiled was not written again.

Ruled out: a crash by depth; the decoder gives up at 10,000 levels.

Change: pages are split without decoding their objects; each entry is judged alone by its size, numbers, names, address and state before it is kept or sent on; refusals are counted by reason and logged once for each writer and reason, at most 256. Versions are bounded by the clock, so that an owner can always exceed them. A node writes a spoiled entry again; a watcher that sees one tells its node.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -32,6 +32,7 @@
 	generation     uint64
 	onChange       []func([]Entry)
 	onEarlierEntry func(Entry)
+	onRefused      func(node string, err error)
 }
 
 // New returns a directory that holds only the entry of this node. Now is the wall clock.
@@ -60,6 +61,13 @@
 	d.onEarlierEntry = f
 }
 
+// OnRefused registers a function that receives the node and the error of each entry that Merge
+// refuses. The function is called without the lock held. It must be registered before the first
+// merge.
+func (d *Directory) OnRefused(f func(node string, err error)) {
+	d.onRefused = f
+}
+
 // UpdateSelf changes this node's entry with f, raises its version and returns the entry.
 // If f leaves the entry unchanged, its version stays and nobody is notified.
 func (d *Directory) UpdateSelf(f func(*Entry)) Entry {
@@ -96,17 +104,15 @@
 }
 
 // Merge stores the entries of other writers that are newer than the known ones, and
-// returns the entries that changed. It ignores entries without a node or an address. An
+// returns the entries that changed. It refuses each entry that is not valid by itself. An
 // entry for this node, written by an earlier process at its address or by a node that
 // removed it, is not stored; if it is newer than this node's own entry, or as new with
 // other content, the version of the latter is raised above it.
 func (d *Directory) Merge(entries []Entry) []Entry {
+	entries = d.selectValid(entries)
 	d.mu.Lock()
 	var changed, earlier []Entry
 	for _, e := range entries {
-		if e.Node == "" || e.Address == "" {
-			continue
-		}
 		if e.Node == d.self.Node {
 			if raised, ok := d.raiseVersion(e); ok {
 				changed = append(changed, raised)
@@ -133,6 +139,21 @@
 	return changed
 }
 
+// selectValid returns the valid entries and reports the others.
+func (d *Directory) selectValid(entries []Entry) []Entry {
+	now := d.now()
+	valid := make([]Entry, 0, len(entries))
+	for _, e := range entries {
+		err := e.Validate(now)
+		if err == nil {
+			valid = append(valid, e)
+		} else if d.onRefused != nil {
+			d.onRefused(e.Node, err)
+		}
+	}
+	return valid
+}
+
 // raiseVersion raises the version of this node's own entry above that of e, an entry for
 // this node from another writer. It returns false if this is not necessary.
 func (d *Directory) raiseVersion(e Entry) (Entry, bool) {
--- a/internal/directory/entry.go
+++ b/internal/directory/entry.go
@@ -66,3 +66,9 @@
 	}
 	return e.Learned.Add(time.Duration(e.Upstream.ColdMs) * time.Millisecond)
 }
+
+// Same reports whether two entries are equal in all fields that are sent to other nodes.
+func (e Entry) Same(other Entry) bool {
+	return e.Node == other.Node && e.Version == other.Version && e.Region == other.Region &&
+		e.FailureDomain == other.FailureDomain && sameContent(e, other)
+}
--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -28,7 +28,7 @@
 	sender := &meter{endpoint: endpoint{net, "one"}, perPeer: map[string]int{}}
 	var pair [2]*Gossiper
 	for i, name := range []string{"one", "two"} {
-		d := directory.New(directory.Entry{Node: name, Address: name}, time.Now)
+		d := directory.New(directory.Entry{Node: name, Address: name + ":1"}, time.Now)
 		var all []directory.Entry
 		for j := range n {
 			all = append(all, typicalEntry(j, 1))
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -133,6 +133,9 @@
 // it knows.
 func (g *Gossiper) merge(m message, peer string) {
 	g.config.StoreEra.Observe(m.StoreEra)
+	if m.Spoiled && g.config.OnSpoiled != nil {
+		g.config.OnSpoiled()
+	}
 	if len(m.Entries) > 0 {
 		g.config.Directory.Merge(m.Entries)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -38,6 +38,8 @@
 	// one of the few seeds; it gets the rest from the nodes that it learns of, in
 	// exchanges that are catchUpPause apart.
 	maxTransferred = 48
+	// maxReported bounds the nodes to which one call of ReportSpoiled sends a message.
+	maxReported = 32
 	// catchUpPause is the pause before each exchange of catchUp.
 	catchUpPause = 50 * time.Millisecond
 	// maxMessageBytes bounds a decoded message. It holds the directory of a thousand
@@ -62,6 +64,9 @@
 	// OnRemoved is called with a dead node after this node has removed its entry from the
 	// directory.
 	OnRemoved func(node string)
+	// OnSpoiled, unless nil, is called when a peer reports that the store holds something else
+	// in the place of this node's entry.
+	OnSpoiled func()
 	Log       zerolog.Logger
 	Scope     tally.Scope
 }
@@ -128,6 +133,16 @@
 	}
 }
 
+// ReportSpoiled tells nodes that the store holds something else in the place of their entries.
+// It does not wait for their responses, and sends nothing to nodes that are not known.
+func (g *Gossiper) ReportSpoiled(ctx context.Context, nodes []string) {
+	for _, e := range g.config.Directory.Entries(nodes[:min(len(nodes), maxReported)]) {
+		if !e.Removed && e.Node != g.config.Directory.Self().Node {
+			go g.sendUpdate(ctx, e.Address, message{UpdateOnly: true, Spoiled: true})
+		}
+	}
+}
+
 // Run exchanges with peers until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	timer := time.NewTimer(g.pause())
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -68,11 +68,11 @@
 	net := &network{nodes: map[string]*Gossiper{}, partitioned: map[string]bool{}}
 	var fleet []*Gossiper
 	for i := range n {
-		address := fmt.Sprint("node-", i)
+		address := fmt.Sprint("node-", i, ":1")
 		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
 		g := New(Config{
 			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: endpoint{net, address},
-			Seeds: []string{"node-0"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+			Seeds: []string{"node-0:1"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		d.OnChange(g.Disseminate)
 		g.config.Document.OnChange(func(*routing.Table) { g.DisseminateConfig() })
@@ -97,10 +97,10 @@
 		for i, g := range fleet {
 			assert.Equal(t, len(g.config.Directory.All()), 30, "node %d", i)
 		}
-		net.setPartitioned("node-7", true)
+		net.setPartitioned("node-7:1", true)
 		assert.Assert(t, fleet[3].config.Document.Apply([]byte("5"), "test"))
 		fleet[4].config.Directory.UpdateSelf(func(e *directory.Entry) {
-			e.Upstream = &directory.Upstream{ID: "i", Service: "s", State: directory.Draining}
+			e.Upstream = &directory.Upstream{ID: "i", Service: "s", Slots: 1, State: directory.Draining}
 		})
 		time.Sleep(2 * time.Second)
 		for i, g := range fleet {
@@ -109,10 +109,10 @@
 				continue
 			}
 			assert.Equal(t, g.config.Document.Version(), uint64(5), "node %d", i)
-			e, _ := g.config.Directory.Get("node-4")
+			e, _ := g.config.Directory.Get("node-4:1")
 			assert.Assert(t, e.Upstream != nil, "node %d", i)
 		}
-		net.setPartitioned("node-7", false)
+		net.setPartitioned("node-7:1", false)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, fleet[7].config.Document.Version(), uint64(5))
 	})
@@ -127,25 +127,25 @@
 		defer func() { cancel(); synctest.Wait() }()
 		net, fleet := startFleet(ctx, 12)
 		time.Sleep(10 * time.Second)
-		net.setPartitioned("node-5", true)
-		net.setPartitioned("node-6", true)
+		net.setPartitioned("node-5:1", true)
+		net.setPartitioned("node-6:1", true)
 		time.Sleep(8 * time.Second)
-		e, _ := fleet[0].config.Directory.Get("node-5")
+		e, _ := fleet[0].config.Directory.Get("node-5:1")
 		assert.Assert(t, !e.Removed)
-		net.setPartitioned("node-6", false)
+		net.setPartitioned("node-6:1", false)
 		time.Sleep(time.Minute)
 		for i, g := range fleet {
 			if i == 5 {
 				continue
 			}
-			dead, _ := g.config.Directory.Get("node-5")
+			dead, _ := g.config.Directory.Get("node-5:1")
 			assert.Assert(t, dead.Removed, "node %d", i)
-			alive, _ := g.config.Directory.Get("node-6")
+			alive, _ := g.config.Directory.Get("node-6:1")
 			assert.Assert(t, !alive.Removed, "node %d", i)
 		}
-		net.setPartitioned("node-5", false)
+		net.setPartitioned("node-5:1", false)
 		time.Sleep(5 * time.Second)
-		restored, _ := fleet[0].config.Directory.Get("node-5")
+		restored, _ := fleet[0].config.Directory.Get("node-5:1")
 		assert.Assert(t, !restored.Removed)
 	})
 }
@@ -185,16 +185,16 @@
 		for i, g := range fleet {
 			assert.Equal(t, len(g.config.Directory.All()), 300, "node %d", i)
 		}
-		d := directory.New(directory.Entry{Node: "late", Address: "late"}, time.Now)
+		d := directory.New(directory.Entry{Node: "late", Address: "late:1"}, time.Now)
 		sender := &meter{endpoint: endpoint{net, "late"}, perPeer: map[string]int{}}
 		late := New(Config{
 			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: sender,
-			Seeds: []string{"node-0"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
+			Seeds: []string{"node-0:1"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		go late.Run(ctx)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, len(d.All()) >= 301, "%d entries", len(d.All()))
-		bytes := sender.counts()["node-0"]
+		bytes := sender.counts()["node-0:1"]
 		assert.Assert(t, bytes < 16<<10, "%d bytes with the seed", bytes)
 	})
 }
@@ -205,7 +205,7 @@
 	net := &network{nodes: map[string]*Gossiper{}, partitioned: map[string]bool{}}
 	var pair []*Gossiper
 	for i := range 2 {
-		address := fmt.Sprint("node-", i)
+		address := fmt.Sprint("node-", i, ":1")
 		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
 		g := New(Config{
 			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: &meter{endpoint: endpoint{net, address}, perPeer: map[string]int{}},
@@ -215,13 +215,13 @@
 		net.nodes[address] = g
 		pair = append(pair, g)
 	}
-	assert.Assert(t, pair[0].exchange(t.Context(), "node-1"))
+	assert.Assert(t, pair[0].exchange(t.Context(), "node-1:1"))
 	sender := pair[0].config.Sender.(*meter)
-	before := sender.counts()["node-1"]
-	pair[1].config.Directory.Merge([]directory.Entry{{Node: "node-7", Version: 2, Address: "node-7", Leaving: true}})
-	assert.Assert(t, pair[0].exchange(t.Context(), "node-1"))
+	before := sender.counts()["node-1:1"]
+	pair[1].config.Directory.Merge([]directory.Entry{{Node: "node-7:1", Version: 2, Address: "node-7:1", Leaving: true}})
+	assert.Assert(t, pair[0].exchange(t.Context(), "node-1:1"))
 	assert.Equal(t, pair[0].config.Directory.Digest(), pair[1].config.Directory.Digest())
-	bytes := sender.counts()["node-1"] - before
+	bytes := sender.counts()["node-1:1"] - before
 	assert.Assert(t, bytes < 8<<10, "%d bytes for one entry", bytes)
 }
 
@@ -257,7 +257,7 @@
 func FuzzServe(f *testing.F) {
 	f.Add([]byte(`{"config_version":1,"digest":2,"entries":[{"node":"a","address":"b"}],"config":9}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		d := directory.New(directory.Entry{Node: "self", Address: "self"}, time.Now)
+		d := directory.New(directory.Entry{Node: "self", Address: "self:1"}, time.Now)
 		g := New(Config{Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Log: zerolog.Nop(), Scope: tally.NoopScope})
 		response := g.Serve(context.Background(), &h1.Request{Body: body})
 		if response.Status == 200 {
@@ -277,7 +277,7 @@
 		time.Sleep(10 * time.Second)
 		assert.Assert(t, fleet[0].ReachableFraction() > 0.9)
 		for i := 5; i < 20; i++ {
-			net.setPartitioned(fmt.Sprint("node-", i), true)
+			net.setPartitioned(fmt.Sprint("node-", i, ":1"), true)
 		}
 		time.Sleep(10 * time.Second)
 		fraction := 0.0
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -1,10 +1,6 @@
 package gossip
 
-import (
-	"encoding/json"
-
-	"github.com/mustardwing/mustardwing/internal/directory"
-)
+import "encoding/json"
 
 // Path is the request path of the gossip endpoint.
 const Path = "/mustardwing/v1/gossip"
@@ -27,7 +23,9 @@
 	// has Entries, Wanted and More.
 	Compare *comparison `json:"compare,omitempty"`
 	// Entries holds entries that may be newer than the receiver's.
-	Entries []directory.Entry `json:"entries,omitempty"`
+	Entries entryList `json:"entries,omitempty"`
+	// Spoiled is set when the store holds something else in the place of the receiver's entry.
+	Spoiled bool `json:"spoiled,omitempty"`
 	// Wanted lists the nodes whose entries the sender lacks or has in older versions only.
 	Wanted []string `json:"wanted,omitempty"`
 	// More is set when there are more differences than the message holds.
--- a/internal/gossip/peer_selector_test.go
+++ b/internal/gossip/peer_selector_test.go
@@ -13,7 +13,7 @@
 
 // directoryOf returns the directory of node-0 in a fleet of n nodes.
 func directoryOf(n int) *directory.Directory {
-	d := directory.New(directory.Entry{Node: "node-0", Address: "node-0", FailureDomain: "a"}, time.Now)
+	d := directory.New(directory.Entry{Node: "node-0:1", Address: "node-0:1", FailureDomain: "a"}, time.Now)
 	addNodes(d, 1, n)
 	return d
 }
@@ -21,7 +21,7 @@
 // addNodes adds the nodes with the numbers from <= i < to, in four failure domains.
 func addNodes(d *directory.Directory, from, to int) {
 	for i := from; i < to; i++ {
-		name := fmt.Sprint("node-", i)
+		name := fmt.Sprint("node-", i, ":1")
 		d.Merge([]directory.Entry{{Node: name, Version: 1, Address: name, FailureDomain: string(rune('a' + i%4))}})
 	}
 }
--- a/internal/mesh/harness_test.go
+++ b/internal/mesh/harness_test.go
@@ -106,7 +106,7 @@
 	route.Name, route.Host, route.Prefix = "kind", "h", "/r/"
 	route.Targets = []routing.Target{{Service: "s", Weight: 1}}
 	c := &cluster{t: t, upstreams: map[string]*Upstream{}, table: routing.New(1, routing.DefaultLimits(), []*routing.Route{&route})}
-	c.directory = directory.New(directory.Entry{Node: "self", Address: "self"}, time.Now)
+	c.directory = directory.New(directory.Entry{Node: "self", Address: "self:1"}, time.Now)
 	values := func(string) settings.Values { return settings.Defaults() }
 	c.instances = NewInstances("region", "domain", c.directory, values)
 	inFlight := NewInFlightCalls()
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -180,6 +180,8 @@
 		return n.settings.Tree().Resolve(settings.Path{Region: c.Region, Service: service})
 	}
 	n.directory = directory.New(directory.Entry{Node: c.IP, Address: c.PeerAddress, Region: c.Region, FailureDomain: c.FailureDomain}, time.Now)
+	refusals := directory.NewRefusals(c.Log, scope)
+	n.directory.OnRefused(refusals.Note)
 	n.document = gossip.NewDocument(c.DecodeRoutes, c.Log)
 	n.peerPools = mesh.NewPeerPools()
 	n.instances = mesh.NewInstances(c.Region, c.FailureDomain, n.directory, values)
@@ -187,11 +189,13 @@
 	storeEra := gossip.NewStoreEra(c.Log)
 	n.gossiper = gossip.New(gossip.Config{
 		Directory: n.directory, Document: n.document, StoreEra: storeEra, Sender: n.peerPools, Seeds: c.Seeds,
-		OnRemoved: func(node string) { go n.syncer.Remove(context.Background(), node) }, Log: c.Log, Scope: scope,
+		OnRemoved: func(node string) { go n.syncer.Remove(context.Background(), node) },
+		OnSpoiled: func() { n.syncer.CheckEntry() }, Log: c.Log, Scope: scope,
 	})
 	n.syncer = storesync.New(storesync.Config{
 		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document, StoreEra: storeEra,
-		LastReceived: n.gossiper.LastReceived, ReachableFraction: n.gossiper.ReachableFraction, Settings: n.settings, SettingsChanged: n.settingsChanged, Log: c.Log, Scope: scope,
+		LastReceived: n.gossiper.LastReceived, ReachableFraction: n.gossiper.ReachableFraction, Settings: n.settings, SettingsChanged: n.settingsChanged,
+		OnSpoiled: func(nodes []string) { n.gossiper.ReportSpoiled(context.Background(), nodes) }, Refusals: refusals, Log: c.Log, Scope: scope,
 	})
 	inFlight := mesh.NewInFlightCalls()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -23,6 +23,8 @@
 type Listing struct {
 	Version int64    `json:"version"`
 	Objects []Object `json:"objects"`
+	// Skipped is the number of objects that could not be read and are left out.
+	Skipped int `json:"-"`
 }
 
 // Events holds the changes under a prefix in the order of their versions.
@@ -31,6 +33,8 @@
 	// it as after to the next Watch.
 	Version int64    `json:"version"`
 	Events  []Object `json:"events"`
+	// Skipped is the number of changes that could not be read and are left out.
+	Skipped int `json:"-"`
 }
 
 // Store is the object API. Errors other than ErrCompacted carry a result code, such as
--- a/internal/storesync/era_test.go
+++ b/internal/storesync/era_test.go
@@ -105,7 +105,7 @@
 		n := newNode("a", store)
 		peers := make([]directory.Entry, 16000)
 		for i := range peers {
-			peers[i] = directory.Entry{Node: fmt.Sprint(i), Version: 1, Address: fmt.Sprint(i)}
+			peers[i] = directory.Entry{Node: fmt.Sprint(i), Version: 1, Address: fmt.Sprint(i, ":1")}
 		}
 		n.config.Directory.Merge(peers)
 		var latest atomic.Int64
--- a/internal/storesync/publisher.go
+++ b/internal/storesync/publisher.go
@@ -29,6 +29,9 @@
 		if s.entryDeleted.Swap(false) {
 			last = publication{}
 		}
+		if revision := s.foreignRevision.Swap(0); revision > last.revision {
+			last = publication{revision: revision}
+		}
 		var err error
 		switch {
 		case s.entryUncertain.Swap(false):
@@ -55,8 +58,9 @@
 	}
 }
 
-// readPublication reads this node's entry from the store after the store has returned from an
-// older copy.
+// readPublication reads this node's entry from the store when that may have lost it or hold
+// another in its place. Another entry has to be replaced; merging it raises the version of this
+// node's entry above it.
 func (s *Syncer) readPublication(ctx context.Context, node string) (publication, error) {
 	s.spreadCalls(ctx)
 	s.calls.Inc(1)
@@ -68,8 +72,15 @@
 	if err != nil {
 		return publication{}, err
 	}
-	var e directory.Entry
-	if err := json.Unmarshal(o.Value, &e); err != nil {
+	e, err := s.decodeEntry(o)
+	if err != nil {
+		s.config.Refusals.Note(o.Key, err)
+		return publication{revision: o.Version}, nil
+	}
+	if self := s.config.Directory.Self(); !e.Same(self) {
+		if e.Version >= self.Version {
+			s.config.Directory.Merge([]directory.Entry{e})
+		}
 		return publication{revision: o.Version}, nil
 	}
 	return publication{revision: o.Version, version: e.Version}, nil
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -67,7 +69,12 @@
 	// ReachableFraction returns the fraction of the other nodes that this node can exchange
 	// with.
 	ReachableFraction func() float64
-	Settings          *settings.Holder
+	// OnSpoiled, unless nil, is called with the nodes in the place of whose entries the store
+	// holds something else, so that they are told to write them again.
+	OnSpoiled func(nodes []string)
+	// Refusals receives the entries in the store that are refused.
+	Refusals *directory.Refusals
+	Settings *settings.Holder
 	// SettingsChanged is called after the settings tree has changed.
 	SettingsChanged func()
 	Log             zerolog.Logger
@@ -83,9 +90,12 @@
 	// entryDeleted is set when this node's entry was deleted from the store, until publish
 	// takes notice of it.
 	entryDeleted atomic.Bool
-	// entryUncertain is set when the store has returned from an older copy and may have lost
-	// this node's entry, until publish has read it.
+	// entryUncertain is set when the store may have lost this node's entry or hold another in its
+	// place, until publish has read it.
 	entryUncertain atomic.Bool
+	// foreignRevision is the highest revision at which the store had something else in the
+	// place of this node's entry, until publish takes notice of it.
+	foreignRevision atomic.Int64
 	// publishSignal wakes publish.
 	publishSignal chan struct{}
 	// calls counts the calls to the store, errors those that failed, except conflicting
@@ -100,10 +110,7 @@
 		config: config, publishSignal: make(chan struct{}, 1),
 		calls: config.Scope.Counter("store_calls"), errors: config.Scope.Counter("store_errors"),
 	}
-	config.StoreEra.OnReturn(func() {
-		s.entryUncertain.Store(true)
-		s.Publish()
-	})
+	config.StoreEra.OnReturn(s.CheckEntry)
 	return s
 }
 
@@ -179,6 +186,7 @@
 			sleepJittered(ctx, backoff.delay())
 		case err == nil:
 			backoff.succeeded()
+			s.noteSkipped(prefix, listing.Skipped)
 			apply(change{version: listing.Version, objects: listing.Objects, snapshot: true, returned: applied && era != appliedEra})
 			applied, appliedEra = true, era
 			s.watch(eraCtx, prefix, listing.Version, batch, gossiped, apply, backoff)
@@ -236,6 +244,7 @@
 		}
 		failures = 0
 		backoff.succeeded()
+		s.noteSkipped(prefix, events.Skipped)
 		version = max(version, events.Version)
 		apply(change{version: version, objects: events.Events})
 		if len(events.Events) > 0 && batch > 0 {
@@ -244,6 +253,15 @@
 	}
 }
 
+// noteSkipped counts and logs objects that the store returned in a form that cannot be read.
+func (s *Syncer) noteSkipped(prefix string, count int) {
+	if count == 0 {
+		return
+	}
+	s.errors.Inc(int64(count))
+	s.config.Log.Warn().Str("for", prefix).Int("objects", count).Msg("objects of the store cannot be read; the others stay in force")
+}
+
 // applyConfig puts a changed configuration in force. A deletion leaves the configuration
 // in force.
 func (s *Syncer) applyConfig(c change) {
@@ -254,28 +272,78 @@
 	}
 }
 
-// applyEntries merges changed entries into the directory. A deletion has no effect there,
-// but a deleted entry of this node is written again.
+// applyEntries merges changed entries into the directory and refuses those that are not valid.
+// A deletion has no effect there, but a deleted entry of this node is written again, and so is
+// one that another writer has replaced.
 func (s *Syncer) applyEntries(c change) {
 	var entries []directory.Entry
-	self := s.config.Directory.Self().Node
+	var spoiled []string
+	self := s.config.Directory.Self()
 	for _, o := range c.objects {
 		if o.Deleted {
-			if o.Key == s.key(self) {
+			if o.Key == s.key(self.Node) {
 				s.entryDeleted.Store(true)
 				s.Publish()
 			}
 			continue
 		}
-		var e directory.Entry
-		if err := json.Unmarshal(o.Value, &e); err != nil {
-			s.config.Log.Warn().Err(err).Str("key", o.Key).Msg("cannot decode entry")
-			continue
+		e, err := s.decodeEntry(o)
+		if err != nil {
+			s.config.Refusals.Note(o.Key, err)
+		} else {
+			entries = append(entries, e)
+		}
+		switch {
+		case o.Key == s.key(self.Node):
+			if err != nil || !e.Same(self) {
+				s.noteForeign(o.Version)
+			}
+		case err != nil || s.contradicts(e):
+			spoiled = append(spoiled, strings.TrimPrefix(o.Key, s.config.Keys.NodesPrefix))
 		}
-		entries = append(entries, e)
 	}
 	s.listed.Store(true)
 	s.config.Directory.Merge(entries)
+	if len(spoiled) > 0 && s.config.OnSpoiled != nil {
+		s.config.OnSpoiled(spoiled)
+	}
+}
+
+// decodeEntry returns the entry that an object holds, or the reason why it must not be used.
+func (s *Syncer) decodeEntry(o platform.Object) (directory.Entry, error) {
+	var e directory.Entry
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return directory.Entry{}, err
+	}
+	if o.Key != s.key(e.Node) {
+		return directory.Entry{}, &directory.InvalidEntryError{Reason: directory.BadKey, Detail: fmt.Sprintf("node %.64q: want the one in the key", e.Node)}
+	}
+	return e, e.Validate(time.Now())
+}
+
+// contradicts reports whether an entry in the store differs from the known entry of the same
+// node and version. Its node did not write it then.
+func (s *Syncer) contradicts(e directory.Entry) bool {
+	known, ok := s.config.Directory.Get(e.Node)
+	return ok && known.Version == e.Version && !known.Same(e)
+}
+
+// noteForeign records the revision of an object in the place of this node's entry that differs
+// from it. An earlier write of this node has a revision that publish knows by then.
+func (s *Syncer) noteForeign(revision int64) {
+	for known := s.foreignRevision.Load(); revision > known; known = s.foreignRevision.Load() {
+		if s.foreignRevision.CompareAndSwap(known, revision) {
+			s.Publish()
+			return
+		}
+	}
+}
+
+// CheckEntry makes Run read this node's entry in the store and write it again if another writer
+// has replaced it. It does not wait for that.
+func (s *Syncer) CheckEntry() {
+	s.entryUncertain.Store(true)
+	s.Publish()
 }
 
 // applySettings applies changes of the settings tree. Invalid settings of one scope are
