internal/storesync: watchers write what a node that has left could not write

Change: a watcher compares the entries that it knows with those that the store holds. An entry that is older there for 3 s, while the store can be reached, is written by the first watcher, after 6 s by the second, and so on; that of a dead node is deleted. A living node that can write does so within 2 s, which costs no call more (TestWatcherLeavesWritingToLivingNodes).

Before (nothing restored): TestLeaveDuringOutageOutlivesARestartOfAllNodes and TestDeletionOfADeadNodeIsMadeUp fail.

--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -317,6 +317,7 @@
 	n.budget.SetNodes(len(peers) + 1)
 	n.peerPools.Retain(append(peers, n.config.Seeds...))
 	n.gossiper.Disseminate(changed)
+	n.syncer.EntriesChanged(changed)
 	self := n.directory.Self().Node
 	for _, e := range changed {
 		log := n.config.Log.Info().Str("entry", e.Node).Uint64("version", e.Version).Bool("leaving", e.Leaving).Bool("removed", e.Removed)
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -96,6 +96,7 @@
 	// foreignRevision is the highest revision at which the store had something else in the
 	// place of this node's entry, until publish takes notice of it.
 	foreignRevision atomic.Int64
+	restorer        restorer
 	// publishSignal wakes publish.
 	publishSignal chan struct{}
 	// calls counts the calls to the store, errors those that failed, except conflicting
@@ -135,6 +136,7 @@
 	go s.follow(ctx, s.config.Keys.NodesPrefix, batchDelay, true, s.applyEntries)
 	go s.follow(ctx, s.config.Keys.SettingsPrefix, batchDelay, false, s.applySettings)
 	go s.poll(ctx)
+	go s.restore(ctx)
 	s.publish(ctx)
 }
 
@@ -181,7 +183,7 @@
 		listing, era, err := s.list(eraCtx, prefix)
 		switch {
 		case err != nil && eraCtx.Err() == nil:
-			s.errors.Inc(1)
+			s.noteFailedCall(prefix)
 			backoff.failed(err)
 			sleepJittered(ctx, backoff.delay())
 		case err == nil:
@@ -237,7 +239,7 @@
 		}
 		if err != nil {
 			failures++
-			s.errors.Inc(1)
+			s.noteFailedCall(prefix)
 			backoff.failed(err)
 			sleepJittered(ctx, backoff.delay())
 			continue
@@ -253,6 +255,14 @@
 	}
 }
 
+// noteFailedCall counts a failed call that follows a prefix.
+func (s *Syncer) noteFailedCall(prefix string) {
+	s.errors.Inc(1)
+	if prefix == s.config.Keys.NodesPrefix {
+		s.restorer.noteFailure(time.Now())
+	}
+}
+
 // noteSkipped counts and logs objects that the store returned in a form that cannot be read.
 func (s *Syncer) noteSkipped(prefix string, count int) {
 	if count == 0 {
@@ -279,8 +289,13 @@
 	var entries []directory.Entry
 	var spoiled []string
 	self := s.config.Directory.Self()
+	if c.snapshot {
+		s.restorer.reset()
+	}
 	for _, o := range c.objects {
+		node := strings.TrimPrefix(o.Key, s.config.Keys.NodesPrefix)
 		if o.Deleted {
+			s.restorer.noteStored(node, nil)
 			if o.Key == s.key(self.Node) {
 				s.entryDeleted.Store(true)
 				s.Publish()
@@ -293,22 +308,39 @@
 		} else {
 			entries = append(entries, e)
 		}
+		s.restorer.noteStored(node, &storedEntry{revision: o.Version, version: e.Version})
 		switch {
 		case o.Key == s.key(self.Node):
 			if err != nil || !e.Same(self) {
 				s.noteForeign(o.Version)
 			}
 		case err != nil || s.contradicts(e):
-			spoiled = append(spoiled, strings.TrimPrefix(o.Key, s.config.Keys.NodesPrefix))
+			spoiled = append(spoiled, node)
 		}
 	}
 	s.listed.Store(true)
 	s.config.Directory.Merge(entries)
+	s.compareStored(c)
 	if len(spoiled) > 0 && s.config.OnSpoiled != nil {
 		s.config.OnSpoiled(spoiled)
 	}
 }
 
+// compareStored compares the known entries with what a change shows of the store: all of them
+// after a snapshot, otherwise those that have changed there. A node that writes its entry after
+// it was removed as dead is alive, and its entry is left alone.
+func (s *Syncer) compareStored(c change) {
+	if c.snapshot {
+		s.EntriesChanged(s.config.Directory.All())
+		return
+	}
+	for _, o := range c.objects {
+		if known, ok := s.config.Directory.Get(strings.TrimPrefix(o.Key, s.config.Keys.NodesPrefix)); ok && !known.Removed {
+			s.EntriesChanged([]directory.Entry{known})
+		}
+	}
+}
+
 // decodeEntry returns the entry that an object holds, or the reason why it must not be used.
 func (s *Syncer) decodeEntry(o platform.Object) (directory.Entry, error) {
 	var e directory.Entry
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -61,6 +61,7 @@
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
 	d.OnChange(func(changed []directory.Entry) {
+		n.EntriesChanged(changed)
 		for _, e := range changed {
 			if e.Node == name {
 				n.Publish()
--- a/internal/storesync/watchers.go
+++ b/internal/storesync/watchers.go
@@ -30,15 +30,20 @@
 	if s.isolated() {
 		return true
 	}
-	self := s.config.Directory.Self().Node
-	score := xxhash.Sum64String(prefix + self)
+	return float64(s.watcherRank(prefix)) < watcherCount/s.config.ReachableFraction()
+}
+
+// watcherRank returns the number of nodes that precede this one in the order in which
+// nodes watch a prefix.
+func (s *Syncer) watcherRank(prefix string) int {
+	score := xxhash.Sum64String(prefix + s.config.Directory.Self().Node)
 	before := 0
 	s.config.Directory.EachPeer(func(e directory.Entry) {
 		if !e.Leaving && xxhash.Sum64String(prefix+e.Node) < score {
 			before++
 		}
 	})
-	return float64(before) < watcherCount/s.config.ReachableFraction()
+	return before
 }
 
 // isolated reports whether this node has received no message from a peer recently.
