internal/h1, internal/meshnode: a request that is being read holds back the end of its node

Cause: a stopped node ended as soon as no request that was read whole had no response. A request of which only a part had been read, or whose connection had just been accepted, was cut off without a response.

Ruled out: refusing such a request earlier; the node accepts until its end, so that each caller gets a response.

Change: a request counts as in flight from its first byte on, and after the listeners are closed the node waits once more for requests in flight, within the grace period.

Before: TestRequestReadWhileTheNodeEndsGetsAResponse gets "unexpected EOF" (real processes). After: it passes, and so does TestStoppedNodeCompletesRequests.

--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -23,7 +23,7 @@
 	conns  map[*serverConn]struct{}
 	closed bool
 
-	// inFlight counts the requests that were read and have no response yet.
+	// inFlight counts the requests of which a byte was read and that have no response yet.
 	inFlight atomic.Int64
 	// buffered is the total size in bytes of the bodies of the requests whose handler
 	// runs.
@@ -83,7 +83,8 @@
 	s.keepAlivesDisabled.Store(true)
 }
 
-// InFlight returns the number of requests that were read and have no response yet.
+// InFlight returns the number of requests of which a byte was read and that have no response
+// yet.
 func (s *Server) InFlight() int64 {
 	return s.inFlight.Load()
 }
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -96,9 +96,15 @@
 	defer c.server.remove(c)
 	defer c.abort()
 	for {
-		r, last, err := c.read()
+		limits := c.server.limits()
+		if err := c.awaitFirstByte(limits); err != nil {
+			return
+		}
+		c.server.inFlight.Add(1)
+		r, last, err := c.read(limits)
 		if err != nil {
 			c.handleReadError(err)
+			c.server.inFlight.Add(-1)
 			return
 		}
 		if !c.dispatch(r, last) || last {
@@ -108,14 +114,9 @@
 	}
 }
 
-// read returns the next request and whether it is the last one, that is, whether
-// its caller asked for the connection to be closed.
-func (c *serverConn) read() (*Request, bool, error) {
-	limits := c.server.limits()
-	c.limited.N = limits.MaxHeaderBytes + readBufferBytes
-	if err := c.awaitFirstByte(limits); err != nil {
-		return nil, false, err
-	}
+// read returns the request whose first byte has arrived and whether it is the last one, that
+// is, whether its caller asked for the connection to be closed.
+func (c *serverConn) read(limits Limits) (*Request, bool, error) {
 	arrived := time.Now()
 	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	parsed, err := http.ReadRequest(c.reader)
@@ -149,6 +150,7 @@
 // awaitFirstByte waits for a request. The idle timeout applies only while no
 // request is in flight.
 func (c *serverConn) awaitFirstByte(limits Limits) error {
+	c.limited.N = limits.MaxHeaderBytes + readBufferBytes
 	for {
 		c.setIdleDeadline(limits.IdleTimeout)
 		_, err := c.reader.Peek(1)
@@ -218,11 +220,11 @@
 	}
 	if c.closing {
 		c.mu.Unlock()
+		c.server.inFlight.Add(-1)
 		return false
 	}
 	c.queue = append(c.queue, e)
 	c.mu.Unlock()
-	c.server.inFlight.Add(1)
 	c.server.buffered.Add(int64(len(r.Body)))
 	go c.serve(e, r)
 	return true
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -375,7 +375,7 @@
 		if time.Until(end) < finalResponseTime {
 			n.outbound.Stop()
 		}
-		if graceOver && n.callers.InFlight() == 0 && n.peers.InFlight() == 0 {
+		if graceOver && n.inFlight() == 0 {
 			break
 		}
 		time.Sleep(shutdownPollInterval)
@@ -383,4 +383,14 @@
 	for _, l := range n.listeners {
 		_ = l.Close()
 	}
+	// A connection may have been accepted just before, and its request is still to be read.
+	time.Sleep(min(shutdownPollInterval, max(0, time.Until(end))))
+	for time.Now().Before(end) && n.inFlight() > 0 {
+		time.Sleep(shutdownPollInterval)
+	}
+}
+
+// inFlight returns the number of requests of callers and peer nodes that have no response yet.
+func (n *Node) inFlight() int64 {
+	return n.callers.InFlight() + n.peers.InFlight()
 }
