internal/mesh: calls stay in their failure domain until its instance is nearly full

With a limit of 0.6 calls per slot half of the calls left their failure domain at six tenths of the slots (0.506 under virtual time), although their own instance had free slots, and more of them waited (0.0113), since each node knows the load of the others late.

Change: the limit is 0.9, below the point at which upstreams slow down. Under virtual time 0.072 of the calls leave and 0.0023 wait (TestCallsStayInTheirFailureDomain, which fails with 0.6).

--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -18,8 +18,8 @@
 	initialSuspicion = 500 * time.Millisecond
 	maxSuspicion     = 4 * time.Second
 	// localCostLimit is the cost, in calls per slot, below which an instance of the
-	// local failure domain is preferred. At higher costs upstreams slow down.
-	localCostLimit = 0.6
+	// local failure domain is preferred. Upstreams slow down when they are nearly full.
+	localCostLimit = 0.9
 	// rateLimitRetention is how long the rate limit of an instance is kept after its last
 	// report. It covers a restart of the instance's node, which learns the limit from it.
 	rateLimitRetention = 30 * time.Second
