internal/mesh, internal/directory, internal/storesync: work grows with changes, not with the fleet

Cause: each change of the directory listed, sorted and visited all entries to rebuild the choices of all services, also of those that this node never calls; the list of peers, the retry budget and the connection pools were renewed each time; the successor, the number of nodes and the order of the watchers were found by visiting all entries two to four times a second.

Change: a changed entry is filed under its service, whose choices are rebuilt when the next call to it is made. Peers are renewed when nodes join, leave or move; the successor and the watcher's rank are kept until then.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -27,9 +27,14 @@
 	// entries holds all entries, including this node's and removed ones, by node.
 	entries map[string]Entry
 	buckets buckets
-	// generation increases when a node is added or removed, or changes its address or
+	// generation increases when a node is added or removed, leaves, or changes its address or
 	// failure domain.
-	generation     uint64
+	generation uint64
+	// peers is the number of other nodes that are not removed.
+	peers int
+	// successor is the node that Successor returned at successorAt, a generation.
+	successor      string
+	successorAt    uint64
 	onChange       []func([]Entry)
 	onEarlierEntry func(Entry)
 	onRefused      func(node string, err error)
@@ -169,12 +174,23 @@
 func (d *Directory) put(e Entry) {
 	before := d.entries[e.Node]
 	d.buckets.replace(before, e)
-	if before.Address != e.Address || before.Removed != e.Removed || before.FailureDomain != e.FailureDomain {
+	if before.Address != e.Address || before.Removed != e.Removed || before.Leaving != e.Leaving || before.FailureDomain != e.FailureDomain {
 		d.generation++
 	}
+	if d.isPeer(before) {
+		d.peers--
+	}
+	if d.isPeer(e) {
+		d.peers++
+	}
 	d.entries[e.Node] = e
 }
 
+// isPeer reports whether an entry is that of another node and not removed.
+func (d *Directory) isPeer(e Entry) bool {
+	return e.Node != "" && e.Node != d.self.Node && !e.Removed
+}
+
 // notify calls the functions registered with OnChange. The lock must not be held.
 func (d *Directory) notify(changed []Entry) {
 	for _, f := range d.onChange {
@@ -219,19 +235,28 @@
 func (d *Directory) Successor() (Entry, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var first, next Entry
+	if d.successorAt != d.generation {
+		d.successor, d.successorAt = d.findSuccessor(), d.generation
+	}
+	next, ok := d.entries[d.successor]
+	return next, ok
+}
+
+// findSuccessor visits all entries. The lock must be held.
+func (d *Directory) findSuccessor() string {
+	first, next := "", ""
 	d.eachPeer(func(e Entry) {
-		if first.Node == "" || e.Node < first.Node {
-			first = e
+		if first == "" || e.Node < first {
+			first = e.Node
 		}
-		if e.Node > d.self.Node && (next.Node == "" || e.Node < next.Node) {
-			next = e
+		if e.Node > d.self.Node && (next == "" || e.Node < next) {
+			next = e.Node
 		}
 	})
-	if next.Node == "" {
-		next = first
+	if next == "" {
+		return first
 	}
-	return next, next.Node != ""
+	return next
 }
 
 // Self returns this node's entry.
@@ -262,7 +287,8 @@
 }
 
 // Generation returns a number that increases whenever EachPeer would visit other nodes
-// than before, or the same nodes with other addresses or failure domains.
+// than before, or the same nodes with other addresses or failure domains, or when one of them
+// begins to leave.
 func (d *Directory) Generation() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -288,9 +314,9 @@
 
 // Size returns the number of nodes that are not removed, including this one.
 func (d *Directory) Size() int {
-	size := 1
-	d.EachPeer(func(Entry) { size++ })
-	return size
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return 1 + d.peers
 }
 
 // Peers returns the sorted addresses of the other nodes that are not removed.
--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -38,7 +38,10 @@
 	values func(service string) settings.Values
 
 	mu sync.Mutex
-	// balancers holds the balancer of each service.
+	// services holds the instances of each service, serviceOf the service of each node.
+	services  map[string]*serviceInstances
+	serviceOf map[string]string
+	// balancers holds the balancer of each service to which a call was made.
 	balancers map[string]*balancer.Balancer
 	// suspects holds the suspicion of each suspected instance, by its id.
 	suspects map[string]suspicion
@@ -76,47 +79,56 @@
 func NewInstances(region, failureDomain string, d *directory.Directory, values func(string) settings.Values) *Instances {
 	return &Instances{
 		region: region, domain: failureDomain, directory: d, values: values,
+		services: make(map[string]*serviceInstances), serviceOf: make(map[string]string),
 		balancers: make(map[string]*balancer.Balancer), suspects: make(map[string]suspicion),
 		rateLimits: make(map[string]reportedRateLimit), leaving: make(map[incarnation]time.Time),
 	}
 }
 
-// Update applies the current entries of the directory and deletes old suspicions, rate limits
-// and incarnations that leave. A service that the directory no longer lists keeps its balancer,
-// without instances.
+// Update applies all entries of the directory.
 func (s *Instances) Update(now time.Time) {
 	entries := s.directory.All()
-	services := make(map[string][]balancer.Instance)
+	s.Apply(now, entries)
+}
+
+// Apply applies the current entries of the nodes whose entries have changed, and deletes old
+// suspicions, rate limits and incarnations that leave. The work grows with the changes and not
+// with the fleet: choices of a service are rebuilt when the next call to it is made. A service
+// that the directory no longer lists stays known, without instances.
+func (s *Instances) Apply(now time.Time, changed []directory.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range entries {
-		if e.Upstream == nil {
-			continue
-		}
-		name := e.Upstream.Service
-		if _, ok := services[name]; !ok {
-			// A service is known even if none of its instances serves.
-			services[name] = nil
-		}
-		started := uint64(max(0, e.Upstream.Incarnation))
-		if _, leaves := s.leaving[incarnation{e.Upstream.ID, started}]; leaves || !e.Serves() {
-			continue
-		}
-		// The mesh sets no balancer.Config.RampUp, so ReadySince only serves the age of the
-		// entry in log lines.
-		services[name] = append(services[name], balancer.Instance{
-			ID: e.Upstream.ID, Incarnation: started, Region: e.Region, FailureDomain: e.FailureDomain,
-			PeerAddress: e.Address, Slots: e.Upstream.Slots, ReadySince: e.Learned,
-		})
-	}
-	for name, all := range services {
-		s.balancerFor(name).SetInstances(now, all)
-	}
-	for name, b := range s.balancers {
-		if _, ok := services[name]; !ok {
-			b.SetInstances(now, nil)
-		}
+	for _, e := range changed {
+		s.applyNode(e.Node)
+	}
+	s.expire(now)
+}
+
+// applyNode applies the current entry of a node, which may be newer than the change that led to
+// this call. The caller holds the lock.
+func (s *Instances) applyNode(node string) {
+	name := ""
+	e, ok := s.directory.Get(node)
+	if ok && !e.Removed && e.Upstream != nil {
+		name = e.Upstream.Service
+	}
+	if previous, known := s.serviceOf[node]; known && previous != name {
+		s.services[previous].remove(node)
+		delete(s.serviceOf, node)
+	}
+	if name == "" {
+		return
+	}
+	if s.services[name] == nil {
+		s.services[name] = newServiceInstances()
 	}
+	s.serviceOf[node] = name
+	s.services[name].put(e)
+}
+
+// expire deletes old suspicions, rate limits and incarnations that leave. The caller holds the
+// lock.
+func (s *Instances) expire(now time.Time) {
 	for id, suspected := range s.suspects {
 		if now.Sub(suspected.until) > 2*maxSuspicion {
 			delete(s.suspects, id)
@@ -134,6 +146,24 @@
 	}
 }
 
+// current returns the balancer of a service with its present instances, or nil if the service is
+// not known. The caller holds the lock.
+func (s *Instances) current(now time.Time, name string) *balancer.Balancer {
+	service, ok := s.services[name]
+	if !ok {
+		return nil
+	}
+	b := s.balancerFor(name)
+	if service.changed {
+		service.changed = false
+		b.SetInstances(now, service.list(func(u *directory.Upstream) bool {
+			_, leaves := s.leaving[incarnation{u.ID, startOf(u)}]
+			return leaves
+		}))
+	}
+	return b
+}
+
 // balancerFor returns the balancer of a service. The caller holds the lock.
 func (s *Instances) balancerFor(service string) *balancer.Balancer {
 	b, ok := s.balancers[service]
@@ -154,8 +184,8 @@
 func (s *Instances) HasReady(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.balancers[service]
-	return ok && b.ReadyCount(nil) > 0
+	b := s.current(time.Now(), service)
+	return b != nil && b.ReadyCount(nil) > 0
 }
 
 // Reconfigure applies the settings in force.
@@ -178,7 +208,7 @@
 			avoid = append(avoid, id)
 		}
 	}
-	return s.balancers[service], avoid
+	return s.current(now, service), avoid
 }
 
 // suspect records a failure of an instance, so that lookup returns it as suspected for
@@ -230,10 +260,13 @@
 func (s *Instances) noteLeaving(now time.Time, i balancer.Instance) {
 	key := incarnation{i.ID, i.Incarnation}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	_, known := s.leaving[key]
 	s.leaving[key] = now
-	s.mu.Unlock()
-	if !known {
-		s.Update(now)
+	if known {
+		return
+	}
+	for _, service := range s.services {
+		service.changed = true
 	}
 }
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -134,6 +134,8 @@
 	peers     *h1.Server
 	listeners []net.Listener
 	started   time.Time
+	// appliedGeneration is the generation of the directory whose peers were applied last.
+	appliedGeneration atomic.Uint64
 	// leaving is set once Shutdown has begun.
 	leaving atomic.Bool
 	// announceMu keeps announcements of the upstream and the adoption of an earlier one
@@ -312,10 +314,12 @@
 // directoryChanged applies changed entries to the components that use them, logs them,
 // disseminates them, and publishes this node's entry if it is among them.
 func (n *Node) directoryChanged(changed []directory.Entry) {
-	n.instances.Update(time.Now())
-	peers := n.directory.Peers()
-	n.budget.SetNodes(len(peers) + 1)
-	n.peerPools.Retain(append(peers, n.config.Seeds...))
+	n.instances.Apply(time.Now(), changed)
+	if generation := n.directory.Generation(); n.appliedGeneration.Swap(generation) != generation {
+		peers := n.directory.Peers()
+		n.budget.SetNodes(len(peers) + 1)
+		n.peerPools.Retain(append(peers, n.config.Seeds...))
+	}
 	n.gossiper.Disseminate(changed)
 	n.syncer.EntriesChanged(changed)
 	self := n.directory.Self().Node
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -97,6 +98,9 @@
 	// place of this node's entry, until publish takes notice of it.
 	foreignRevision atomic.Int64
 	restorer        restorer
+	// ranks holds the watcherRank of each prefix.
+	ranksMu sync.Mutex
+	ranks   map[string]rank
 	// publishSignal wakes publish.
 	publishSignal chan struct{}
 	// calls counts the calls to the store, errors those that failed, except conflicting
@@ -108,7 +112,7 @@
 // New returns a syncer that does nothing until Run is called.
 func New(config Config) *Syncer {
 	s := &Syncer{
-		config: config, publishSignal: make(chan struct{}, 1),
+		config: config, publishSignal: make(chan struct{}, 1), ranks: make(map[string]rank),
 		calls: config.Scope.Counter("store_calls"), errors: config.Scope.Counter("store_errors"),
 	}
 	config.StoreEra.OnReturn(s.CheckEntry)
--- a/internal/storesync/watchers.go
+++ b/internal/storesync/watchers.go
@@ -33,9 +33,21 @@
 	return float64(s.watcherRank(prefix)) < watcherCount/s.config.ReachableFraction()
 }
 
+// rank is a watcherRank with the generation of the directory for which it was computed.
+type rank struct {
+	generation uint64
+	before     int
+}
+
 // watcherRank returns the number of nodes that precede this one in the order in which
-// nodes watch a prefix.
+// nodes watch a prefix. It visits all entries only after nodes have joined or left.
 func (s *Syncer) watcherRank(prefix string) int {
+	s.ranksMu.Lock()
+	defer s.ranksMu.Unlock()
+	generation := s.config.Directory.Generation()
+	if known, ok := s.ranks[prefix]; ok && known.generation == generation {
+		return known.before
+	}
 	score := xxhash.Sum64String(prefix + s.config.Directory.Self().Node)
 	before := 0
 	s.config.Directory.EachPeer(func(e directory.Entry) {
@@ -43,6 +55,7 @@
 			before++
 		}
 	})
+	s.ranks[prefix] = rank{generation, before}
 	return before
 }
 
