internal/storesync, platform: a node that starts makes fewer calls to the store

Each node that starts listed three prefixes and watched the configuration and the entries, since it counted as isolated before any message could have reached it.

--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -39,6 +39,10 @@
 	pollInterval = 400 * time.Millisecond
 	// removeTimeout bounds the deletion of an entry, which takes two calls.
 	removeTimeout = 5 * time.Second
+	// configWatchDelay is the time from the start to the first watch of the configuration. By
+	// then nodes that start together know each other, and few of them watch. Until then the
+	// configuration is polled and received from peers.
+	configWatchDelay = 2 * time.Second
 	// relistAfter is the number of consecutive failed watches after which the prefix is
 	// listed again.
 	relistAfter = 4
@@ -98,6 +102,8 @@
 	// place of this node's entry, until publish takes notice of it.
 	foreignRevision atomic.Int64
 	restorer        restorer
+	// started is when Run was called, nil before.
+	started atomic.Pointer[time.Time]
 	// ranks holds the watcherRank of each prefix.
 	ranksMu sync.Mutex
 	ranks   map[string]rank
@@ -136,6 +142,8 @@
 
 // Run follows the store and publishes this node's entry until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
+	now := time.Now()
+	s.started.Store(&now)
 	go s.follow(ctx, s.config.Keys.ConfigPrefix, 0, true, s.applyConfig)
 	go s.follow(ctx, s.config.Keys.NodesPrefix, batchDelay, true, s.applyEntries)
 	go s.follow(ctx, s.config.Keys.SettingsPrefix, batchDelay, false, s.applySettings)
@@ -194,6 +202,9 @@
 			backoff.succeeded()
 			s.noteSkipped(prefix, listing.Skipped)
 			apply(change{version: listing.Version, objects: listing.Objects, snapshot: true, returned: applied && era != appliedEra})
+			if !applied && prefix == s.config.Keys.ConfigPrefix {
+				sleep(eraCtx, time.Until(s.startedAt().Add(configWatchDelay)))
+			}
 			applied, appliedEra = true, era
 			s.watch(eraCtx, prefix, listing.Version, batch, gossiped, apply, backoff)
 		}
--- a/internal/storesync/watchers.go
+++ b/internal/storesync/watchers.go
@@ -59,9 +59,18 @@
 	return before
 }
 
-// isolated reports whether this node has received no message from a peer recently.
+// isolated reports whether this node has received no message from a peer recently. A node that
+// has just started has not had the time to receive one.
 func (s *Syncer) isolated() bool {
-	return time.Since(s.config.LastReceived()) > isolatedAfter
+	return time.Since(s.config.LastReceived()) > isolatedAfter && time.Since(s.startedAt()) > isolatedAfter
+}
+
+// startedAt returns when Run was called, the zero time before that.
+func (s *Syncer) startedAt() time.Time {
+	if at := s.started.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // share returns the probability with which this node does a piece of work, so that on
