internal/supervise: a panic in background work does not end the process

Cause: a panic in the handling of a request failed only that request, but attempts at calls that may be hedged, exchanges with peers and the following of the store run in goroutines of their own, where it ended the whole process.

Change: such work is run by internal/supervise, which logs the panic with its stack. An attempt then has an unknown outcome, and a loop starts again after a second.

Before: TestPanicInAnAttemptFailsOnlyItsCall ends the test process with a nil dereference. After: the call gets 502 and the next one is served.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,7 @@
 
 	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/h1"
+	"github.com/mustardwing/mustardwing/internal/supervise"
 )
 
 const (
@@ -163,7 +164,8 @@
 			signal = g.pendingSignal
 		case <-timer.C:
 			g.tickCount++
-			go g.tick(ctx, g.tickCount)
+			tickCount := g.tickCount
+			go supervise.Once(g.config.Log, "gossip exchange", func() { g.tick(ctx, tickCount) })
 			timer.Reset(g.pause())
 		}
 	}
@@ -207,12 +209,12 @@
 	clear(g.pending)
 	g.mu.Unlock()
 	for _, peer := range g.peers.forUpdate(time.Now(), g.reachability.fanout()) {
-		go func() {
+		go supervise.Once(g.config.Log, "gossip update", func() {
 			response, err := g.send(ctx, peer, m)
 			if err == nil {
 				g.sendConfig(ctx, peer, response)
 			}
-		}()
+		})
 	}
 }
 
--- a/internal/mesh/hedge.go
+++ b/internal/mesh/hedge.go
@@ -6,6 +6,7 @@
 
 	"github.com/mustardwing/mustardwing/internal/balancer"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
+	"github.com/mustardwing/mustardwing/internal/supervise"
 )
 
 const (
@@ -97,7 +98,8 @@
 	p := o.hop()
 	p.Retry = p.Retry || number > 0
 	go func() {
-		a := o.sendTo(ctx, choice, p)
+		a := attempt{choice: choice, outcome: outcome{Code: resultcode.Internal, Execution: resultcode.Unknown, Reached: true, Detail: "unexpected error in an attempt"}}
+		supervise.Once(o.outbound.config.Log, "attempt "+o.info.ID, func() { a = o.sendTo(ctx, choice, p) })
 		b.Done(time.Now(), choice, a.feedback())
 		results <- attemptResult{number: number, attempt: a}
 	}()
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -27,6 +27,7 @@
 	"github.com/mustardwing/mustardwing/internal/routing"
 	"github.com/mustardwing/mustardwing/internal/settings"
 	"github.com/mustardwing/mustardwing/internal/storesync"
+	"github.com/mustardwing/mustardwing/internal/supervise"
 )
 
 const (
@@ -242,8 +243,8 @@
 			}
 		}()
 	}
-	go n.gossiper.Run(ctx)
-	go n.watchUpstream(ctx)
+	go supervise.Loop(ctx, n.config.Log, "gossip", func() { n.gossiper.Run(ctx) })
+	go supervise.Loop(ctx, n.config.Log, "upstream", func() { n.watchUpstream(ctx) })
 	go n.syncer.Run(ctx)
 }
 
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -21,6 +21,7 @@
 	"github.com/mustardwing/mustardwing/internal/gossip"
 	"github.com/mustardwing/mustardwing/internal/platform"
 	"github.com/mustardwing/mustardwing/internal/settings"
+	"github.com/mustardwing/mustardwing/internal/supervise"
 )
 
 const (
@@ -144,12 +145,17 @@
 func (s *Syncer) Run(ctx context.Context) {
 	now := time.Now()
 	s.started.Store(&now)
-	go s.follow(ctx, s.config.Keys.ConfigPrefix, 0, true, s.applyConfig)
-	go s.follow(ctx, s.config.Keys.NodesPrefix, batchDelay, true, s.applyEntries)
-	go s.follow(ctx, s.config.Keys.SettingsPrefix, batchDelay, false, s.applySettings)
-	go s.poll(ctx)
-	go s.restore(ctx)
-	s.publish(ctx)
+	work := map[string]func(){
+		"configuration": func() { s.follow(ctx, s.config.Keys.ConfigPrefix, 0, true, s.applyConfig) },
+		"entries":       func() { s.follow(ctx, s.config.Keys.NodesPrefix, batchDelay, true, s.applyEntries) },
+		"settings":      func() { s.follow(ctx, s.config.Keys.SettingsPrefix, batchDelay, false, s.applySettings) },
+		"poll":          func() { s.poll(ctx) },
+		"restore":       func() { s.restore(ctx) },
+	}
+	for name, f := range work {
+		go supervise.Loop(ctx, s.config.Log, name, f)
+	}
+	supervise.Loop(ctx, s.config.Log, "local entry", func() { s.publish(ctx) })
 }
 
 // observeEra records the era that the store's responses so far have stated.
