--- a/review/standin/case_twice.go
+++ b/review/standin/case_twice.go
@@ -7,9 +7,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,15 +24,11 @@
 	garbleEvery = 40
 )
 
-// rejection is the worker's answer to a request that it does not run; the id follows.
-const rejection = "HTTP/1.1 503 Service Unavailable\r\nX-Mustardwing-Not-Executed: 1\r\nX-Mustardwing-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
-
-// strayBytes is the length of the beginning of a rejection that the faulty worker sends once more:
-// up to the value of its first header.
-var strayBytes = strings.Index(rejection, "\r\nX-Mustardwing-Request-Id")
+// rejection is the worker's answer to a request that it does not run: with the date and the id.
+const rejection = "HTTP/1.1 503 Service Unavailable\r\nX-Mustardwing-Not-Executed: 1\r\nContent-Type: text/plain; charset=utf-8\r\nDate: %s\r\nX-Mustardwing-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
 
 // caseTwice checks TWICE: one of the workers of a service sends the beginning of an earlier
-// rejection once more before some of its answers.
+// rejection, broken off at a random byte, once more before some of its answers.
 func caseTwice(f *fleet, trouble bool) (bool, string) {
 	var garbled atomic.Int64
 	runs := &runLog{runs: make(map[string][]string)}
@@ -169,14 +165,14 @@
 func (w *rawWorker) rejectSome(c net.Conn, state *connState, id string, n, size int64) bool {
 	if n%rejectEvery == 0 {
 		w.node.fleet.record.note("worker %s rejects request %s", w.id, id)
-		state.last = fmt.Sprintf(rejection, id)
+		state.last = fmt.Sprintf(rejection, time.Now().UTC().Format(http.TimeFormat), id)
 		_, err := io.WriteString(c, state.last)
 		return err == nil
 	}
 	w.run(id)
 	stray := state.last != "" && w.garble.Load() && w.garbled.Load() < w.answers.Load()/garbleEvery
 	if stray {
-		w.sendStray(c, id, state.last[:strayBytes])
+		w.sendStray(c, id, state.last[:1+rand.IntN(len(state.last)-1)])
 	}
 	state.last = ""
 	body := fmt.Sprintf("answer of %s to %s with %d bytes", w.id, id, size)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,7 @@
 	"bodies": caseBodies,
 	"memory": caseMemory,
 	"twice":  caseTwice,
-	"mixed":  caseMixed,
+	"stop":   caseStop,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -19,10 +19,12 @@
 	node  *node
 	id    string
 	slots int
-	// work is how long a request runs.
+	// work is how long a request runs, or failedWork.
 	work func(r *http.Request) time.Duration
 	// onRun, unless nil, is called when a request begins to run.
 	onRun func(id string, at time.Time)
+	// onDrop, unless nil, is called when a request ends because its connection was closed.
+	onDrop func(id string, at time.Time)
 
 	server  *http.Server
 	born    int64
@@ -34,6 +36,9 @@
 	runs map[string]int
 }
 
+// failedWork is the result of a run that fails because a call that it needs has failed.
+const failedWork = -1
+
 var workerNumber atomic.Int64
 
 // startWorker starts a worker that sends heartbeats.
@@ -132,15 +137,22 @@
 	if w.onRun != nil {
 		w.onRun(id, arrived)
 	}
+	work := w.work(r)
 	select {
-	case <-time.After(w.work(r)):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		w.node.fleet.record.note("worker %s drops request %s: its connection was closed", w.id, id)
+		if w.onDrop != nil {
+			w.onDrop(id, time.Now())
+		}
 		return
 	}
 	body := fmt.Sprintf("answer of %s to %s with %d bytes", w.id, id, size)
 	rw.Header().Set("X-Mustardwing-Server-Stamp", "stamp-"+w.id)
 	rw.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	if work == failedWork {
+		rw.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = io.WriteString(rw, body)
 }
 
