--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -10,4 +10,4 @@
     exit 2
   fi
 done
-exec target/review-standin mixed target/mustardwing-node "$here/record.txt"
+exec target/review-standin leave target/mustardwing-node "$here/record.txt"
