internal/meshnode: an upstream is adopted only if it confirms that it accepts calls

Neither the store nor a peer can say that an entry is the last one: the store was unavailable, a peer may have been partitioned, and all nodes may have restarted. Change: the node asks the upstream itself, with the health check of the operators' configuration, and adopts it only if the same instance responds that it accepts calls. Without that its next announcement decides, which comes within one heartbeat. An entry of any source that shows the incarnation as draining also drains one that has announced itself, which a late message can do. The checks of the earlier adoption tests are kept; they now wait for the adoption, and one more asserts that a withdrawn upstream is not even asked.

--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -65,6 +65,9 @@
 	DecodeOutcome(r *h1.Response) UpstreamOutcome
 	// DecodeNotice reads what an upstream states about itself.
 	DecodeNotice(h http.Header) Notice
+	// DecodeHealth returns the id of the instance that has responded to a health check, empty
+	// unless the instance states that it accepts calls.
+	DecodeHealth(r *h1.Response) string
 	// SameCall reports whether an upstream's response belongs to a request. A late
 	// response to an earlier request on the connection does not.
 	SameCall(request *h1.Request, response *h1.Response) bool
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -148,6 +148,10 @@
 	// drainedBefore is the latest upstream that an entry of an earlier process of this node
 	// shows as draining, the zero value when there is none.
 	drainedBefore directory.Upstream
+	// candidate is the newest entry of an earlier process whose upstream may be adopted, nil if
+	// there is none or its adoption has begun. candidateVersion is the version of the latest one.
+	candidate        *directory.Entry
+	candidateVersion uint64
 	// wasReady is set once the node has known a ready instance of every service that has a
 	// route.
 	wasReady atomic.Bool
@@ -212,8 +216,11 @@
 	n.callers = h1.NewServer(n.outbound, n.limits, c.Log)
 	n.peers = h1.NewServer(h1.HandlerFunc(n.servePeer), func() h1.Limits { return mesh.PeerLimits(n.limits().MaxBodyBytes) }, c.Log)
 	n.directory.OnChange(n.directoryChanged)
-	n.directory.OnEarlierEntry(n.adoptUpstream)
-	n.document.OnChange(func(*routing.Table) { n.gossiper.DisseminateConfig() })
+	n.directory.OnEarlierEntry(n.noteEarlierEntry)
+	n.document.OnChange(func(*routing.Table) {
+		n.gossiper.DisseminateConfig()
+		n.considerAdoption()
+	})
 }
 
 // limits returns the limits on requests of callers: those of the configuration in force,
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -1,6 +1,9 @@
 package meshnode
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/h1"
 	"github.com/mustardwing/mustardwing/internal/mesh"
+	"github.com/mustardwing/mustardwing/internal/routing"
 	"github.com/mustardwing/mustardwing/internal/settings"
 )
 
@@ -19,16 +23,70 @@
 
 func (stubProtocol) SameCall(*h1.Request, *h1.Response) bool { return true }
 
-// newNode returns a node without listeners.
-func newNode() *Node {
+func (stubProtocol) DecodeHealth(r *h1.Response) string {
+	if r.Status != http.StatusOK {
+		return ""
+	}
+	return r.Header.Get("Instance")
+}
+
+// upstreamHealth is how the upstream of a test node responds to health checks.
+type upstreamHealth struct {
+	status   int
+	instance string
+	checks   atomic.Int32
+	// checked receives a value when a check arrives, unless it is nil.
+	checked chan struct{}
+	// respond, unless nil, delays the responses until it is closed.
+	respond chan struct{}
+}
+
+func (h *upstreamHealth) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	h.checks.Add(1)
+	if h.respond != nil {
+		h.checked <- struct{}{}
+		<-h.respond
+	}
+	w.Header().Set("Instance", h.instance)
+	w.WriteHeader(h.status)
+}
+
+// newNode returns a node without listeners beside an upstream whose health checks are served by
+// health, or beside none if that is nil.
+func newNode(t *testing.T, health *upstreamHealth) *Node {
+	address := "127.0.0.1:1"
+	if health != nil {
+		server := httptest.NewServer(health)
+		t.Cleanup(server.Close)
+		address = server.Listener.Addr().String()
+	}
 	n := &Node{settings: settings.NewHolder(), started: time.Now(), config: Config{
-		IP: "10.0.0.1", Service: "s", PeerAddress: "10.0.0.1:2", UpstreamAddress: "127.0.0.1:1",
+		IP: "10.0.0.1", Service: "s", PeerAddress: "10.0.0.1:2", UpstreamAddress: address, Heartbeat: time.Second,
 		Protocol: stubProtocol{}, Bounds: Bounds{Drain: 2 * time.Second}, Log: zerolog.Nop(),
+		DecodeRoutes: func([]byte) (*routing.Table, error) {
+			table := routing.New(1, routing.DefaultLimits(), nil)
+			table.HealthPaths = map[string]string{"s": "/health"}
+			return table, nil
+		},
 	}}
 	n.build(tally.NoopScope)
+	n.document.Apply(nil, "test")
 	return n
 }
 
+// adopted waits until the node has adopted an upstream and returns its announcement.
+func adopted(t *testing.T, n *Node) mesh.Announcement {
+	t.Helper()
+	for range 200 {
+		if a, ok := n.upstream.Current(); ok {
+			return a
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("no upstream was adopted")
+	return mesh.Announcement{}
+}
+
 // earlierEntry returns an entry as an earlier process of the node wrote it, with a ready
 // upstream.
 func earlierEntry(version uint64) directory.Entry {
@@ -42,12 +100,11 @@
 // acknowledged. The users' bench found this fault (day rulaj-mesh trouble-2, seed
 // 13132098762, rule DRAIN).
 func TestAdoptedUpstreamCanBeWithdrawn(t *testing.T) {
-	n := newNode()
+	n := newNode(t, &upstreamHealth{status: http.StatusOK, instance: "i-1"})
 	n.directory.Merge([]directory.Entry{earlierEntry(5)})
-	a, adopted := n.upstream.Current()
-	assert.Assert(t, adopted && !a.Draining)
+	assert.Assert(t, !adopted(t, n).Draining)
 	n.Withdraw("i-1")
-	a, _ = n.upstream.Current()
+	a, _ := n.upstream.Current()
 	assert.Assert(t, a.Draining)
 	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
 	n.Withdraw("i-2")
@@ -57,18 +114,74 @@
 // Guards against the adoption of an upstream whose withdrawal was acknowledged before
 // the entry of the earlier process arrived.
 func TestWithdrawnUpstreamIsNotAdopted(t *testing.T) {
-	n := newNode()
+	health := &upstreamHealth{status: http.StatusOK, instance: "i-1"}
+	n := newNode(t, health)
 	n.Withdraw("i-1")
 	n.directory.Merge([]directory.Entry{earlierEntry(5)})
+	time.Sleep(100 * time.Millisecond)
 	_, adopted := n.upstream.Current()
 	assert.Assert(t, !adopted)
 	assert.Assert(t, n.directory.Self().Upstream == nil)
+	assert.Equal(t, health.checks.Load(), int32(0))
+}
+
+// Guards against the adoption of an upstream that has left although the entry of the earlier process
+// shows it as ready, because the store has missed the leave, and of another one at its address.
+func TestUpstreamThatDoesNotConfirmIsNotAdopted(t *testing.T) {
+	for name, health := range map[string]*upstreamHealth{
+		"leaves":           {status: http.StatusServiceUnavailable, instance: "i-1"},
+		"another instance": {status: http.StatusOK, instance: "i-2"},
+		"no instance":      {status: http.StatusOK},
+		"no upstream":      nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(t, health)
+			n.directory.Merge([]directory.Entry{earlierEntry(5)})
+			time.Sleep(100 * time.Millisecond)
+			n.directory.Merge([]directory.Entry{earlierEntry(5)})
+			time.Sleep(20 * time.Millisecond)
+			_, adopted := n.upstream.Current()
+			assert.Assert(t, !adopted)
+			assert.Assert(t, n.directory.Self().Upstream == nil)
+			if health != nil {
+				assert.Equal(t, health.checks.Load(), int32(1))
+			}
+			n.Announce(mesh.Announcement{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0)
+			assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
+		})
+	}
+}
+
+// Guards against the adoption of an upstream that leaves while it confirms that it is ready.
+func TestUpstreamThatLeavesDuringTheCheckIsNotAdopted(t *testing.T) {
+	health := &upstreamHealth{status: http.StatusOK, instance: "i-1", checked: make(chan struct{}), respond: make(chan struct{})}
+	n := newNode(t, health)
+	n.directory.Merge([]directory.Entry{earlierEntry(5)})
+	<-health.checked
+	n.Withdraw("i-1")
+	close(health.respond)
+	time.Sleep(100 * time.Millisecond)
+	_, adopted := n.upstream.Current()
+	assert.Assert(t, !adopted)
+}
+
+// Guards against a late announcement that makes an upstream ready again which has left before the
+// restart of its node, when the node learns of the leave after it.
+func TestLeaveLearnedAfterALateAnnouncement(t *testing.T) {
+	n := newNode(t, nil)
+	n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0)
+	earlier := earlierEntry(5)
+	earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, 7
+	n.directory.Merge([]directory.Entry{earlier})
+	a, _ := n.upstream.Current()
+	assert.Assert(t, a.Draining)
+	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
 }
 
 // Guards against an adoption that overwrites a newer announcement of the
 // upstream.
 func TestAdoptionDoesNotReplaceAnnouncement(t *testing.T) {
-	n := newNode()
+	n := newNode(t, nil)
 	n.Announce(mesh.Announcement{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Slots: 4, Draining: true}, 0)
 	n.directory.Merge([]directory.Entry{earlierEntry(uint64(time.Now().Add(time.Hour).UnixMilli()))})
 	a, _ := n.upstream.Current()
@@ -78,7 +191,7 @@
 
 // Guards against a draining upstream that becomes ready again because its node has restarted.
 func TestUpstreamKeepsDrainingAcrossRestart(t *testing.T) {
-	n := newNode()
+	n := newNode(t, nil)
 	earlier := earlierEntry(5)
 	earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, 7
 	n.directory.Merge([]directory.Entry{earlier})
@@ -92,7 +205,7 @@
 
 // Guards against a draining upstream that becomes ready again because the store returns an older entry.
 func TestUpstreamKeepsDrainingWhenOlderEntryReturns(t *testing.T) {
-	n := newNode()
+	n := newNode(t, nil)
 	for i, incarnation := range []int64{7, 6} {
 		earlier := earlierEntry(5 - uint64(i))
 		earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, incarnation
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -14,18 +14,10 @@
 func (n *Node) Announce(a mesh.Announcement, cold time.Duration) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	if n.leftBefore(a) {
-		a.Draining = true
-	}
+	a.Draining = a.Draining || n.leftBefore(a.ID, a.Incarnation)
 	n.announceSelf(n.upstream.Announce(time.Now(), a), cold)
 }
 
-// leftBefore reports whether the entry of an earlier process of this node says that the
-// announced incarnation drains. announceMu must be held.
-func (n *Node) leftBefore(a mesh.Announcement) bool {
-	return n.drainedBefore.Incarnation != 0 && n.drainedBefore.ID == a.ID && n.drainedBefore.Incarnation == a.Incarnation
-}
-
 // Withdraw marks an instance as draining by its id alone, since it may not have announced
 // itself since this node started. If it was adopted, it gets no more calls after the
 // drain grace period; if not, it is not adopted later.
@@ -71,35 +63,6 @@
 	})
 }
 
-// adoptUpstream adopts the upstream in the entry of an earlier process of this node until
-// it announces itself again, if it was ready and has neither announced itself nor been
-// withdrawn since. If another instance has its address by now, that instance rejects the
-// calls for the adopted one.
-func (n *Node) adoptUpstream(earlier directory.Entry) {
-	u := earlier.Upstream
-	if u != nil && u.State == directory.Draining {
-		n.announceMu.Lock()
-		if u.Incarnation >= n.drainedBefore.Incarnation {
-			n.drainedBefore = *u
-		}
-		n.announceMu.Unlock()
-	}
-	if u == nil || u.State != directory.Ready || u.Service != n.config.Service || earlier.Removed || n.leaving.Load() {
-		return
-	}
-	n.announceMu.Lock()
-	defer n.announceMu.Unlock()
-	if u.ID == n.withdrawn {
-		return
-	}
-	a := mesh.Announcement{ID: u.ID, Incarnation: u.Incarnation, Service: u.Service, Address: n.config.UpstreamAddress, Slots: u.Slots}
-	if !n.upstream.Adopt(time.Now(), a) {
-		return
-	}
-	n.config.Log.Info().Str("instance", u.ID).Uint64("version", earlier.Version).Msg("upstream of the earlier process adopted")
-	n.announceSelf(a, 0)
-}
-
 // markUpstreamUnreachable sets the upstream's state in this node's entry, so that
 // other nodes learn that it is unreachable.
 func (n *Node) markUpstreamUnreachable(id string) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -18,6 +18,9 @@
 	// Limits are the size and time limits for the connections and requests of all callers,
 	// whatever the route.
 	Limits h1.Limits
+	// HealthPaths holds the path of the health check of each service that has one. It must not
+	// change once the table is in use.
+	HealthPaths map[string]string
 	// hosts holds the routes of each host by its name in lower case, those with longer
 	// prefixes first.
 	hosts map[string][]*Route
