internal/directory, internal/gossip, internal/mesh: a leave outlives the next entry of its node

A node that restarts numbers its entry by its clock, above all earlier ones. So nodes that knew from its earlier process that the upstream leaves replaced that by an entry without an upstream, forgot it, and never told the node: an exchange only carries newer entries. A late "ready" announcement, which the platform allows to be seconds late, then put the upstream back in use on all nodes, if the store had missed the leave. Change: a node that has seen an entry with a draining upstream sends this incarnation no more calls for ten minutes, whatever later entries say, as it already did for a statement in a response. Another incarnation with the same id is not affected. Tests, failed before: TestLeaveOutlivesALaterEntry (1 instance, want 0) and TestRestartedNodeIsToldOfALeave (no entry received).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -38,6 +38,7 @@
 	onChange       []func([]Entry)
 	onEarlierEntry func(Entry)
 	onRefused      func(node string, err error)
+	onLeaveMissing func(known, newer Entry)
 }
 
 // New returns a directory that holds only the entry of this node. Now is the wall clock.
@@ -73,6 +74,13 @@
 	d.onRefused = f
 }
 
+// OnLeaveMissing registers a function that receives the known entry of another node, whose upstream
+// leaves, and a newer one that replaces it and does not show that. The function is called without
+// the lock held. It must be registered before the first merge.
+func (d *Directory) OnLeaveMissing(f func(known, newer Entry)) {
+	d.onLeaveMissing = f
+}
+
 // UpdateSelf changes this node's entry with f, raises its version and returns the entry.
 // If f leaves the entry unchanged, its version stays and nobody is notified.
 func (d *Directory) UpdateSelf(f func(*Entry)) Entry {
@@ -117,6 +125,7 @@
 	entries = d.selectValid(entries)
 	d.mu.Lock()
 	var changed, earlier []Entry
+	var missing []replacement
 	for _, e := range entries {
 		if e.Node == d.self.Node {
 			if raised, ok := d.raiseVersion(e); ok {
@@ -125,9 +134,13 @@
 			earlier = append(earlier, e)
 			continue
 		}
-		if known, ok := d.entries[e.Node]; ok && known.Version >= e.Version {
+		known := d.entries[e.Node]
+		if known.Version >= e.Version {
 			continue
 		}
+		if known.leaveMissingIn(e) {
+			missing = append(missing, replacement{known, e})
+		}
 		e.Learned = d.now()
 		d.put(e)
 		changed = append(changed, e)
@@ -141,9 +154,19 @@
 			d.onEarlierEntry(e)
 		}
 	}
+	for _, r := range missing {
+		if d.onLeaveMissing != nil {
+			d.onLeaveMissing(r.known, r.newer)
+		}
+	}
 	return changed
 }
 
+// replacement is a known entry and the newer one that has replaced it.
+type replacement struct {
+	known, newer Entry
+}
+
 // selectValid returns the valid entries and reports the others.
 func (d *Directory) selectValid(entries []Entry) []Entry {
 	now := d.now()
--- a/internal/directory/entry.go
+++ b/internal/directory/entry.go
@@ -72,3 +72,15 @@
 	return e.Node == other.Node && e.Version == other.Version && e.Region == other.Region &&
 		e.FailureDomain == other.FailureDomain && sameContent(e, other)
 }
+
+// leaveMissingIn reports whether the entry shows an upstream that leaves and a newer entry of the
+// node does not: its node has restarted and does not know. An upstream without a known incarnation
+// is left out, since another start of it may have the same id.
+func (e Entry) leaveMissingIn(newer Entry) bool {
+	u := e.Upstream
+	if u == nil || u.State != Draining || u.Incarnation == 0 {
+		return false
+	}
+	n := newer.Upstream
+	return n == nil || n.State == Ready && n.ID == u.ID && n.Incarnation == u.Incarnation
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -41,6 +41,9 @@
 	maxTransferred = 48
 	// maxReported bounds the nodes to which one call of ReportSpoiled sends a message.
 	maxReported = 32
+	// leaveReporters is how many nodes, on average, report a leave that a node does not know after
+	// its restart. With six of them it is unlikely that none does.
+	leaveReporters = 6
 	// catchUpPause is the pause before each exchange of catchUp.
 	catchUpPause = 50 * time.Millisecond
 	// maxMessageBytes bounds a decoded message. It holds the directory of a thousand
@@ -144,6 +147,20 @@
 	}
 }
 
+// ReportLeave sends a node the entry that an earlier process of it had, whose upstream leaves,
+// because the node's newer entry does not show that. All nodes that know of the leave notice this;
+// about leaveReporters of them send it. It does not wait for a response.
+func (g *Gossiper) ReportLeave(ctx context.Context, known, newer directory.Entry) {
+	if newer.Removed || rand.Float64()*float64(g.config.Directory.Size()) >= leaveReporters {
+		return
+	}
+	g.config.Log.Info().Str("entry", known.Node).Uint64("version", known.Version).Str("instance", known.Upstream.ID).
+		Uint64("newer", newer.Version).Msg("newer entry of a node does not show that its upstream leaves; telling the node")
+	go supervise.Once(g.config.Log, "leave report", func() {
+		g.sendUpdate(ctx, newer.Address, message{UpdateOnly: true, Entries: []directory.Entry{known}})
+	})
+}
+
 // Run exchanges with peers until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	timer := time.NewTimer(g.pause())
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -75,6 +75,7 @@
 			Seeds: []string{"node-0:1"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		d.OnChange(g.Disseminate)
+		d.OnLeaveMissing(func(known, newer directory.Entry) { g.ReportLeave(ctx, known, newer) })
 		g.config.Document.OnChange(func(*routing.Table) { g.DisseminateConfig() })
 		net.nodes[address] = g
 		fleet = append(fleet, g)
@@ -287,3 +288,35 @@
 		assert.Assert(t, fraction < 0.6, fraction)
 	})
 }
+
+// Guards against a node that does not learn after its restart that its upstream has left, although
+// its peers know: its own entry is newer than theirs, so exchanges do not bring it.
+func TestRestartedNodeIsToldOfALeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		net, fleet := startFleet(ctx, 6)
+		const node = "node-9:1"
+		upstream := directory.Upstream{ID: "i", Incarnation: 7, Service: "s", Slots: 1, State: directory.Draining}
+		before := directory.New(directory.Entry{Node: node, Address: node}, time.Now)
+		before.UpdateSelf(func(e *directory.Entry) { e.Upstream = &upstream })
+		fleet[0].config.Directory.Merge([]directory.Entry{before.Self()})
+		time.Sleep(3 * time.Second)
+		var told directory.Entry
+		restarted := New(fleet[5].config)
+		restarted.config.Directory = directory.New(directory.Entry{Node: node, Address: node}, time.Now)
+		restarted.config.Sender = endpoint{net, node}
+		restarted.peers.directory = restarted.config.Directory
+		restarted.config.Directory.OnChange(restarted.Disseminate)
+		restarted.config.Directory.OnEarlierEntry(func(e directory.Entry) {
+			if e.Upstream != nil {
+				told = e
+			}
+		})
+		net.nodes[node] = restarted
+		go restarted.Run(ctx)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		assert.Assert(t, told.Upstream != nil && *told.Upstream == upstream, "%+v", told)
+	})
+}
--- a/internal/mesh/instances.go
+++ b/internal/mesh/instances.go
@@ -47,8 +47,8 @@
 	suspects map[string]suspicion
 	// rateLimits holds the rate limits that instances reported, by the id of the instance.
 	rateLimits map[string]reportedRateLimit
-	// leaving holds when an instance stated in a response to this node that it leaves. It gets
-	// no more calls of this node, whatever its entry says.
+	// leaving holds when an instance was last known to leave, from a response to this node or from
+	// an entry. It gets no more calls of this node, whatever a later entry says.
 	leaving map[incarnation]time.Time
 }
 
@@ -99,14 +99,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range changed {
-		s.applyNode(e.Node)
+		s.applyNode(now, e.Node)
 	}
 	s.expire(now)
 }
 
 // applyNode applies the current entry of a node, which may be newer than the change that led to
 // this call. The caller holds the lock.
-func (s *Instances) applyNode(node string) {
+func (s *Instances) applyNode(now time.Time, node string) {
 	name := ""
 	e, ok := s.directory.Get(node)
 	if ok && !e.Removed && e.Upstream != nil {
@@ -124,6 +124,9 @@
 	}
 	s.serviceOf[node] = name
 	s.services[name].put(e)
+	if started := startOf(e.Upstream); e.Upstream.State == directory.Draining && started != 0 {
+		s.leaving[incarnation{e.Upstream.ID, started}] = now
+	}
 }
 
 // expire deletes old suspicions, rate limits and incarnations that leave. The caller holds the
--- a/internal/mesh/instances_test.go
+++ b/internal/mesh/instances_test.go
@@ -116,3 +116,21 @@
 		})
 	}
 }
+
+// Guards against calls of a node to an upstream of which it knows that it leaves, because the
+// upstream's node has restarted and says that it is ready.
+func TestLeaveOutlivesALaterEntry(t *testing.T) {
+	d := directory.New(directory.Entry{Node: "self", Address: "self:1"}, time.Now)
+	s := newInstances(d)
+	d.OnChange(func(changed []directory.Entry) { s.Apply(time.Now(), changed) })
+	merge := func(version uint64, incarnation int64, state directory.UpstreamState) int {
+		e := instanceEntry(1, version, "s", state)
+		e.Upstream.Incarnation = incarnation
+		d.Merge([]directory.Entry{e})
+		return readyIn(s, "s")
+	}
+	assert.Equal(t, merge(1, 7, directory.Ready), 1)
+	assert.Equal(t, merge(2, 7, directory.Draining), 0)
+	assert.Equal(t, merge(3, 7, directory.Ready), 0)
+	assert.Equal(t, merge(4, 8, directory.Ready), 1, "a new incarnation with the same id")
+}
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -217,6 +217,7 @@
 	n.peers = h1.NewServer(h1.HandlerFunc(n.servePeer), func() h1.Limits { return mesh.PeerLimits(n.limits().MaxBodyBytes) }, c.Log)
 	n.directory.OnChange(n.directoryChanged)
 	n.directory.OnEarlierEntry(n.noteEarlierEntry)
+	n.directory.OnLeaveMissing(func(known, newer directory.Entry) { n.gossiper.ReportLeave(context.Background(), known, newer) })
 	n.document.OnChange(func(*routing.Table) {
 		n.gossiper.DisseminateConfig()
 		n.considerAdoption()
