platform, internal/meshnode: a late deregistration does not drain a later incarnation

Seen by the review on the way: an upstream that starts again under its id is drained when the deregistration of its earlier start arrives late, since `born` in it was not read. Callers then lack an instance that is in order until its next start.

--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -103,11 +103,11 @@
 	n := newNode(t, &upstreamHealth{status: http.StatusOK, instance: "i-1"})
 	n.directory.Merge([]directory.Entry{earlierEntry(5)})
 	assert.Assert(t, !adopted(t, n).Draining)
-	n.Withdraw("i-1")
+	n.Withdraw("i-1", 0)
 	a, _ := n.upstream.Current()
 	assert.Assert(t, a.Draining)
 	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
-	n.Withdraw("i-2")
+	n.Withdraw("i-2", 0)
 	assert.Equal(t, n.directory.Self().Upstream.ID, "i-1")
 }
 
@@ -116,7 +116,7 @@
 func TestWithdrawnUpstreamIsNotAdopted(t *testing.T) {
 	health := &upstreamHealth{status: http.StatusOK, instance: "i-1"}
 	n := newNode(t, health)
-	n.Withdraw("i-1")
+	n.Withdraw("i-1", 0)
 	n.directory.Merge([]directory.Entry{earlierEntry(5)})
 	time.Sleep(100 * time.Millisecond)
 	_, adopted := n.upstream.Current()
@@ -158,7 +158,7 @@
 	n := newNode(t, health)
 	n.directory.Merge([]directory.Entry{earlierEntry(5)})
 	<-health.checked
-	n.Withdraw("i-1")
+	n.Withdraw("i-1", 0)
 	close(health.respond)
 	time.Sleep(100 * time.Millisecond)
 	_, adopted := n.upstream.Current()
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -20,10 +20,14 @@
 
 // Withdraw marks an instance as draining by its id alone, since it may not have announced
 // itself since this node started. If it was adopted, it gets no more calls after the
-// drain grace period; if not, it is not adopted later.
-func (n *Node) Withdraw(id string) {
+// drain grace period; if not, it is not adopted later. This concerns the given incarnation and
+// earlier ones, or with zero any.
+func (n *Node) Withdraw(id string, incarnation int64) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
+	if a, known := n.upstream.Current(); known && a.ID == id && incarnation != 0 && a.Incarnation > incarnation {
+		return
+	}
 	n.withdrawn = id
 	n.upstream.Withdraw(time.Now(), id)
 	n.markDraining(id)
