internal/h1: the headers that are read at a time have a bound in memory

A line such as "1a:" takes some 25 times its bytes once it is parsed, and nothing bounded the headers of all calls together. Change: a header, of a response or of a request, has at most 256 lines, and of a response the memory beyond the first 4 KiB is reserved from the account of the large bodies. The connection is closed; the call counts as possibly run; a request gets 431. mustardwingd's bound on the header of a response is 64 KiB now, as in the other daemon; before it was 256. Ruled out by the tests that were there: bodies, chunks, chunk extensions, trailers, interim responses (TestEndlessResponseIsGivenUp), many bodies (TestManyEndlessBodiesStayWithinTheirLimit). Tests, failed before (i/o timeout at the deadline; unexpected EOF): TestHeadersStayWithinTheirLimit, TestLimitsAreEnforced with many short lines.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,9 +31,9 @@
 type clientConn struct {
 	pool *Pool
 	conn net.Conn
-	// limited bounds the bytes read for a header, reader buffers them.
-	limited *io.LimitedReader
-	reader  *bufio.Reader
+	// messages bounds what is read, reader buffers it.
+	messages *messageReader
+	reader   *bufio.Reader
 	// failed holds the calls that got a response with an error status on this connection.
 	failed failedCalls
 	// mustClose is set when the connection must not be reused.
@@ -46,8 +45,8 @@
 }
 
 func newClientConn(p *Pool, c net.Conn) *clientConn {
-	limited := &io.LimitedReader{R: c}
-	return &clientConn{pool: p, conn: c, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), idleLimit: p.config.IdleTimeout}
+	messages := &messageReader{conn: c, account: &p.bodyBytes}
+	return &clientConn{pool: p, conn: c, messages: messages, reader: bufio.NewReaderSize(messages, readBufferBytes), idleLimit: p.config.IdleTimeout}
 }
 
 // usable reports whether an idle connection may carry another request. A
@@ -65,6 +64,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	defer c.messages.release()
 	written, err := c.send(r)
 	if err != nil {
 		return nil, &SendError{Sent: true, Cause: err}
@@ -171,17 +171,17 @@
 
 // readHeader returns the next response, without its body, and skips interim (1xx) responses.
 func (c *clientConn) readHeader(r *Request) (*http.Response, error) {
-	c.limited.N = maxResponseHeaderBytes
+	c.messages.startHeader(maxResponseHeaderBytes)
 	for {
 		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil && c.limited.N <= 0 {
-			return nil, errors.Wrapf(errHeaderTooLarge, "response header: want at most %d bytes", maxResponseHeaderBytes)
+		if err != nil && c.messages.exceeded() {
+			return nil, errors.Wrapf(errHeaderTooLarge, "response header: want at most %d bytes and %d lines", maxResponseHeaderBytes, maxHeaderLines)
 		}
 		if err != nil {
 			return nil, err
 		}
 		if parsed.StatusCode >= http.StatusOK {
-			c.limited.N = math.MaxInt64
+			c.messages.startUnbounded()
 			return parsed, nil
 		}
 	}
--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -127,3 +128,42 @@
 		assert.ErrorIs(t, <-results, errBufferLimit)
 	}
 }
+
+// Guards against a header of very many short lines, which take many times their bytes once they
+// are parsed, and against many large headers at once that fill the memory together.
+func TestHeadersStayWithinTheirLimit(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	const exchanges, limit = 16, 512 << 10
+	for name, c := range map[string]struct {
+		head string
+		want error
+	}{
+		"many lines":   {ok + strings.Repeat("a:\r\n", 2<<10), errHeaderTooLarge},
+		"many headers": {ok + strings.Repeat("A: "+strings.Repeat("a", 3<<10)+"\r\n", 16), errBufferLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			scripts := slices.Repeat([]func(net.Conn, *bufio.Reader){func(conn net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(conn, c.head)
+				<-release
+			}}, exchanges)
+			p := testPool(t, scriptedServer(t, scripts...))
+			p.config.MaxExchanges, p.config.MaxBufferedBytes = exchanges, limit
+			p = NewPool(p.config)
+			results := make(chan error, exchanges)
+			for range exchanges {
+				go func() {
+					_, err := do(p, request("1"))
+					results <- err
+				}()
+			}
+			assert.ErrorIs(t, <-results, c.want)
+			close(release)
+			for range exchanges - 1 {
+				assert.Assert(t, <-results != nil)
+			}
+			assert.Equal(t, p.bodyBytes.reserved.Load(), int64(0))
+		})
+	}
+}
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -49,9 +49,9 @@
 	// ctx is the context of all requests of the connection; abort cancels it.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// limited bounds the bytes read for the current header or body, reader buffers them.
-	limited *io.LimitedReader
-	reader  *bufio.Reader
+	// messages bounds what is read, reader buffers it.
+	messages *messageReader
+	reader   *bufio.Reader
 
 	mu sync.Mutex
 	// queue holds the requests whose response was not yet written, oldest first.
@@ -76,10 +76,10 @@
 	if err != nil {
 		host = c.RemoteAddr().String()
 	}
-	limited := &io.LimitedReader{R: c}
+	messages := &messageReader{conn: c}
 	conn := &serverConn{
 		server: s, conn: c, remoteIP: host, ctx: ctx, cancel: cancel,
-		limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes),
+		messages: messages, reader: bufio.NewReaderSize(messages, readBufferBytes),
 	}
 	conn.queueNotFull = sync.NewCond(&conn.mu)
 	return conn
@@ -121,7 +121,7 @@
 	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	parsed, err := http.ReadRequest(c.reader)
 	if err != nil {
-		if c.limited.N <= 0 {
+		if c.messages.exceeded() {
 			return nil, false, errHeaderTooLarge
 		}
 		return nil, false, err
@@ -133,7 +133,7 @@
 	if held := c.server.buffered.Load(); limits.MaxBufferedBytes > 0 && held+max(0, parsed.ContentLength) > limits.MaxBufferedBytes {
 		return nil, false, errBufferLimit
 	}
-	c.limited.N = limits.MaxBodyBytes + readBufferBytes
+	c.messages.startBody(limits.MaxBodyBytes + readBufferBytes)
 	body, err := readBody(parsed, limits.MaxBodyBytes)
 	if err != nil {
 		return nil, false, err
@@ -150,7 +150,7 @@
 // awaitFirstByte waits for a request. The idle timeout applies only while no
 // request is in flight.
 func (c *serverConn) awaitFirstByte(limits Limits) error {
-	c.limited.N = limits.MaxHeaderBytes + readBufferBytes
+	c.messages.startHeader(limits.MaxHeaderBytes + readBufferBytes)
 	for {
 		c.setIdleDeadline(limits.IdleTimeout)
 		_, err := c.reader.Peek(1)
@@ -345,6 +345,6 @@
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
 	c.mu.Unlock()
-	c.limited.N = 1 << 62
+	c.messages.startUnbounded()
 	_, _ = io.Copy(io.Discard, c.reader)
 }
--- a/internal/upstream/connpool.go
+++ b/internal/upstream/connpool.go
@@ -19,7 +19,7 @@
 	// ones.
 	warmCheckPeriod = time.Second
 	// maxResponseHeaderBytes bounds the memory for the headers of a response.
-	maxResponseHeaderBytes = 256 << 10
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // connPool holds the connections to one announced address. A spare connection was
