internal/mesh, internal/meshnode: a node that shuts down refuses calls that would outlast it

Cause: calls were refused by whether they are nested, not by whether they can end. Change: from SIGTERM on a call is accepted if its deadline is before the end of the node, or if the time that 95 % of the latest 64 calls of its kind took, times 1.25, is. What does not fit is refused as not run (code 103, 503), so that its caller can use another node; a call of a peer node is moved. A kind without calls is judged by its objective at the caller's node, else by its deadline. Ruled out: a fixed last moment for nested calls. Tests: TestCallWithoutTimeToEndIsRefusedAtShutdown fails in both cases while the check accepts all calls, as the code before did; TestEstimateCoversMostCalls.

--- a/internal/mesh/outbound.go
+++ b/internal/mesh/outbound.go
@@ -56,6 +56,8 @@
 	sequence atomic.Uint64
 	// closed is set by Close while the node shuts down.
 	closed atomic.Bool
+	// shutdown decides which calls are accepted while the node shuts down.
+	shutdown *shutdown
 	// stopped is cancelled by Stop, when the node is about to end and the in-flight
 	// calls must get a response.
 	stopped context.Context
@@ -71,13 +73,14 @@
 // NewOutbound returns an Outbound that accepts calls.
 func NewOutbound(config OutboundConfig) *Outbound {
 	c := &Outbound{
-		config:  config,
-		calls:   config.Scope.Counter("calls"),
-		retries: config.Scope.Counter("call_repeats"),
-		moves:   config.Scope.Counter("call_moves"),
-		hedges:  config.Scope.Counter("call_hedges"),
-		latency: config.Scope.Histogram("call_latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
-		results: make(map[resultcode.Code]tally.Counter),
+		config:   config,
+		shutdown: newShutdown(),
+		calls:    config.Scope.Counter("calls"),
+		retries:  config.Scope.Counter("call_repeats"),
+		moves:    config.Scope.Counter("call_moves"),
+		hedges:   config.Scope.Counter("call_hedges"),
+		latency:  config.Scope.Histogram("call_latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
+		results:  make(map[resultcode.Code]tally.Counter),
 	}
 	c.stopped, c.stop = context.WithCancel(context.Background())
 	for _, e := range resultcode.Entries() {
@@ -92,6 +95,12 @@
 	c.closed.Store(true)
 }
 
+// EndAt announces when Stop will be called. Calls that will probably not have ended by then are
+// refused with the code Draining, nested calls too.
+func (c *Outbound) EndAt(end time.Time) {
+	c.shutdown.begin(end)
+}
+
 // Stop cancels the in-flight calls and any accepted later, so that no connection closes
 // without a response. A cancelled call gets the failure response of an upstream if there
 // is one, else a response with an unknown outcome.
@@ -116,11 +125,18 @@
 	if c.closed.Load() && o.parent == nil {
 		return c.refuse(r, info, route, table.Version, resultcode.New(resultcode.Draining, "this node is shutting down and accepts no more root requests"))
 	}
+	if failure := c.shutdown.check(time.Now(), route.Name, o.deadline, route.Objective); failure != nil {
+		return o.respondFailure(failure)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(c.stopped, cancel)()
 	response := o.execute(ctx)
-	c.latency.RecordDuration(time.Since(r.Arrived))
+	duration := time.Since(r.Arrived)
+	c.latency.RecordDuration(duration)
+	if o.reached > 0 {
+		c.shutdown.observe(route.Name, duration)
+	}
 	return response
 }
 
--- a/internal/mesh/outbound_call.go
+++ b/internal/mesh/outbound_call.go
@@ -295,6 +295,9 @@
 	if time.Until(o.deadline) < minAttemptTime {
 		return false
 	}
+	if o.outbound.shutdown.check(time.Now(), o.route.Name, o.deadline, o.route.Objective) != nil {
+		return false
+	}
 	if a.outcome.Execution == resultcode.NotRun && !a.outcome.Reached {
 		if a.outcome.Code == resultcode.Overloaded || a.outcome.Code == resultcode.DeadlineInsufficient {
 			o.sheds++
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -79,6 +79,8 @@
 // Upstream passes calls to the local upstream. It is safe for concurrent use.
 type Upstream struct {
 	config UpstreamConfig
+	// shutdown decides which calls are accepted while the node shuts down.
+	shutdown *shutdown
 	// refusals counts the calls that this node refused, responses those to which the
 	// upstream responded, also with a rejection.
 	refusals  tally.Counter
@@ -113,6 +115,7 @@
 func NewUpstream(config UpstreamConfig) *Upstream {
 	return &Upstream{
 		config:           config,
+		shutdown:         newShutdown(),
 		drainGracePeriod: config.DrainGracePeriod,
 		refusals:         config.Scope.Counter("upstream_refusals"),
 		responses:        config.Scope.Counter("upstream_runs"),
@@ -238,6 +241,12 @@
 	u.drainGracePeriod = period
 }
 
+// EndAt announces when the node ends. Calls that will probably not have ended by then are refused
+// with the code Draining.
+func (u *Upstream) EndAt(end time.Time) {
+	u.shutdown.begin(end)
+}
+
 // Serve passes a call of a peer node to the upstream, or refuses it.
 func (u *Upstream) Serve(ctx context.Context, r *h1.Request) *h1.Response {
 	p, err := decodeHop(r.Header)
@@ -249,6 +258,9 @@
 	if failure != nil {
 		return u.refuse(p, nil, failure)
 	}
+	if failure := u.shutdown.check(time.Now(), p.Kind, deadline, 0); failure != nil {
+		return u.refuse(p, c, failure)
+	}
 	if change, changed := c.rateLimit.adopt(time.Now(), p.RateLimit); changed {
 		u.logRateLimit(c, change, p.RateLimit)
 	}
@@ -259,14 +271,22 @@
 		return u.refuse(p, c, resultcode.From(err))
 	}
 	// While the call was queued, the instance may have been replaced, become unreachable
-	// or reached the end of its drain grace period.
-	if _, failure := u.acceptingInstance(time.Now(), p.Instance); failure != nil {
+	// or reached the end of its drain grace period, and the node may have begun to shut down.
+	_, failure = u.acceptingInstance(time.Now(), p.Instance)
+	if failure == nil {
+		failure = u.shutdown.check(time.Now(), p.Kind, deadline, 0)
+	}
+	if failure != nil {
 		slot.Release(resultcode.NotRun)
 		return u.refuse(p, c, failure)
 	}
 	active := &inFlightCall{hop: p, deadline: deadline, slot: slot}
 	u.config.InFlight.add(active)
+	started := time.Now()
 	response, v := u.send(ctx, c, p, r, deadline)
+	if v.Execution != resultcode.NotRun {
+		u.shutdown.observe(p.Kind, time.Since(started))
+	}
 	u.config.InFlight.remove(active)
 	v.NestedRefused = active.nestedRefused.Load()
 	if active.nestedShed.Load() && v.Code == resultcode.OK && response.Status >= http.StatusInternalServerError {
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -365,14 +365,17 @@
 }
 
 // Shutdown announces that the node leaves, after upstreamGracePeriod if its upstream is
-// ready. It refuses root requests once leaveGracePeriod is over, and returns as soon as no
-// call is in flight after that, after limit at the latest. Calls of the local instance
+// ready. It refuses root requests once leaveGracePeriod is over, and from the beginning all calls
+// that will probably not have ended after limit. It returns as soon as no
+// call is in flight after leaveGracePeriod, after limit at the latest. Calls of the local instance
 // that are still in flight shortly before the limit are cancelled and get a response; see
 // mesh.Outbound.Stop.
 func (n *Node) Shutdown(limit time.Duration) {
 	end := time.Now().Add(limit)
 	graceEnd := time.Now().Add(min(leaveGracePeriod, limit))
 	n.leaving.Store(true)
+	n.outbound.EndAt(end.Add(-finalResponseTime))
+	n.upstream.EndAt(end.Add(-finalResponseTime))
 	n.callers.DisableKeepAlives()
 	if n.directory.Self().Serves() {
 		time.Sleep(min(upstreamGracePeriod, limit))
