--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// Guards against a response whose header breaks off, at any byte, and that counts as a success with
+// an empty or a short body.
+func TestBrokenOffHeaderIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 10\r\n\r\n"
+	for end := range len(head) {
+		u := announced(t, scriptedUpstream(t, func(e scriptedConn) { _, _ = e.readRequest(); e.write(head[:end]) }), false)
+		_, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, "body"))
+		assert.Equal(t, resultcode.From(err).Code, resultcode.ConnectionLost, "broken off behind %q", head[:end])
+		assert.Equal(t, run, resultcode.Unknown)
+	}
+}
+
 // Guards against the outcome of an attempt on a refused connection being reported as
 // unknown, which would prevent a move of a non-idempotent call.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
