internal/responsecheck, internal/h1, internal/upstream, platform: a joined header is not believed

Cause: where the earlier header breaks off in a value, the parser reads both as one header, with the status and the first fields of the earlier response and the request id of the present one. All checks were for the id. Ruled out: whole copies (TestRepeatedRefusalOfAnotherCall) and bytes on an idle connection (TestConnectionWithStrayBytesIsNotReused). Change: a status line inside the reason phrase or a value ends the exchange, in both daemons; at any other place the parser refuses it. The outcome is unknown and the connection is closed.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
 const (
@@ -34,6 +36,8 @@
 	// messages bounds what is read, reader buffers it.
 	messages *messageReader
 	reader   *bufio.Reader
+	// request is what the parser has to know of the current request.
+	request http.Request
 	// failed holds the calls that got a response with an error status on this connection.
 	failed failedCalls
 	// mustClose is set when the connection must not be reused.
@@ -134,10 +138,24 @@
 	return c.pool.config.ResponseMatches == nil || c.pool.config.ResponseMatches(r, response)
 }
 
+// check returns an error for a header that cannot have come whole from the server. Nothing that it
+// states may be believed.
+func (c *clientConn) check(r *Request, parsed *http.Response) error {
+	if err := responsecheck.Joined(parsed.Status, parsed.Header); err != nil {
+		return err
+	}
+	if c.pool.config.CheckResponse == nil {
+		return nil
+	}
+	return c.pool.config.CheckResponse(r, &Response{Status: parsed.StatusCode, Header: parsed.Header})
+}
+
 // reportHeader passes the header of a response to OnResponseHeader.
 func (c *clientConn) reportHeader(r *Request, parsed *http.Response) {
-	response := &Response{Status: parsed.StatusCode, Header: parsed.Header}
-	if c.pool.config.OnResponseHeader != nil && c.matches(r, response) {
+	if c.pool.config.OnResponseHeader == nil {
+		return
+	}
+	if response := (&Response{Status: parsed.StatusCode, Header: parsed.Header}); c.matches(r, response) {
 		c.pool.config.OnResponseHeader(r, response)
 	}
 }
@@ -172,11 +190,15 @@
 // readHeader returns the next response, without its body, and skips interim (1xx) responses.
 func (c *clientConn) readHeader(r *Request) (*http.Response, error) {
 	c.messages.startHeader(maxResponseHeaderBytes)
+	c.request.Method = r.Method
 	for {
-		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		parsed, err := http.ReadResponse(c.reader, &c.request)
 		if err != nil && c.messages.exceeded() {
 			return nil, errors.Wrapf(errHeaderTooLarge, "response header: want at most %d bytes and %d lines", maxResponseHeaderBytes, maxHeaderLines)
 		}
+		if err == nil {
+			err = c.check(r, parsed)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -36,6 +36,9 @@
 	// all. A response that does not match is skipped and its connection is closed
 	// after the exchange.
 	ResponseMatches func(*Request, *Response) bool
+	// CheckResponse, unless nil, returns an error for a response without its body whose header
+	// contradicts itself. The exchange then fails, and its connection is closed.
+	CheckResponse func(*Request, *Response) error
 	// OnResponseHeader, unless nil, receives each response that matches its request, without
 	// the body, as soon as the header has been read. The body may still break off.
 	OnResponseHeader func(*Request, *Response)
--- a/internal/mesh/harness_test.go
+++ b/internal/mesh/harness_test.go
@@ -53,6 +53,8 @@
 	return Notice{RateLimit: admission.ParseRateLimit(h.Get("Test-Limit")), Leaving: h.Get("Test-Leaving") != ""}
 }
 
+func (testProtocol) CheckResponse(*h1.Request, *h1.Response) error { return nil }
+
 func (testProtocol) DecodeHealth(*h1.Response) string { return "" }
 
 func (testProtocol) SameCall(request *h1.Request, response *h1.Response) bool {
--- a/internal/mesh/protocol.go
+++ b/internal/mesh/protocol.go
@@ -63,6 +63,9 @@
 	EncodeCall(h http.Header, info UpstreamInfo)
 	// DecodeOutcome reads what the upstream's response states about the call.
 	DecodeOutcome(r *h1.Response) UpstreamOutcome
+	// CheckResponse returns an error for an upstream's response, without its body, whose header
+	// cannot be whole or contradicts itself. What it states is not to be believed.
+	CheckResponse(request *h1.Request, response *h1.Response) error
 	// DecodeNotice reads what an upstream states about itself.
 	DecodeNotice(h http.Header) Notice
 	// DecodeHealth returns the id of the instance that has responded to a health check, empty
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -138,6 +138,7 @@
 		c.pool = h1.NewPool(h1.PoolConfig{
 			Address: a.Address, DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout,
 			MaxIdle: a.Slots, MaxExchanges: a.Slots, MaxResponseBytes: maxResponseBytes, MaxBufferedBytes: u.config.MaxBufferedBytes, DetectDeadPeer: true, ResponseMatches: u.config.Protocol.SameCall,
+			CheckResponse:    u.config.Protocol.CheckResponse,
 			OnResponseHeader: func(_ *h1.Request, response *h1.Response) { u.observeNotice(c, response) },
 		})
 		u.current = c
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/relay"
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
@@ -120,6 +121,9 @@
 // cannot be detected.
 func (u *Upstream) checkResponse(m call.Metadata, state State, response *http.Response) *resultcode.Error {
 	h := response.Header
+	if err := responsecheck.Joined(response.Status, h); err != nil {
+		return resultcode.Wrap(err, resultcode.AnswerMismatch, "response of the upstream")
+	}
 	if !echoes(h, call.HeaderRequestID, m.RequestID.String()) || !echoes(h, call.HeaderAttempt, m.Attempt.String()) {
 		return resultcode.New(resultcode.AnswerMismatch, "response has request id %q and attempt %q: want %s and %s",
 			h.Get(call.HeaderRequestID), h.Get(call.HeaderAttempt), m.RequestID, m.Attempt)
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// Guards against the beginning of an earlier response, broken off in a header, that turns the failure
+// behind it into a success.
+func TestBeginningOfAnEarlierResponseIsNotBelieved(t *testing.T) {
+	u := announced(t, scriptedUpstream(t, func(e scriptedConn) {
+		_, _ = e.readRequest()
+		e.write("HTTP/1.1 200 OK\r\nContent-Type: text/plHTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nbody")
+	}), false)
+	_, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, "body"))
+	assert.Equal(t, resultcode.From(err).Code, resultcode.AnswerMismatch)
+	assert.Equal(t, run, resultcode.Unknown)
+}
+
 // Guards against a response whose header breaks off, at any byte, and that counts as a success with
 // an empty or a short body.
 func TestBrokenOffHeaderIsNoResponse(t *testing.T) {
