internal/h1: the idle time of a kept connection runs from its last response

Cause: the deadline of the wait for the next request was set when the wait began, that is right after the previous request, and only a request still in flight at the deadline extended it. Change: the idle time runs from the latest response that was written, and does not run while a request is in flight. Test: TestIdleTimeRunsFromTheLastResponse, failed before (unexpected EOF at the second request).

--- a/internal/h1/server_test.go
+++ b/internal/h1/server_test.go
@@ -149,6 +149,24 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// Guards against a kept connection that is closed as idle, although its last response was written
+// less than the idle timeout ago.
+func TestIdleTimeRunsFromTheLastResponse(t *testing.T) {
+	limits := testLimits()
+	limits.IdleTimeout = 300 * time.Millisecond
+	_, address := startServer(t, func(context.Context, *Request) *Response {
+		time.Sleep(250 * time.Millisecond)
+		return textResponse(http.StatusOK, "done")
+	}, limits)
+	c, reader := dial(t, address)
+	for range 3 {
+		write(t, c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, body := readResponse(t, reader)
+		assert.Equal(t, body, "done")
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
 // Guards against a panic on input that is not a valid request. A connection that the
 // server does not close does not fail the test, but makes it wait for testTimeout.
 func FuzzServerConnection(f *testing.F) {
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -60,6 +60,8 @@
 	// closing is set once no further response is written: the last one was, or a write
 	// failed.
 	closing bool
+	// lastResponse is when the latest response was written.
+	lastResponse time.Time
 }
 
 // exchange is a request and, once ready, its response.
@@ -147,14 +149,15 @@
 	return r, last, nil
 }
 
-// awaitFirstByte waits for a request. The idle timeout applies only while no
-// request is in flight.
+// awaitFirstByte waits for a request. The idle timeout runs from the latest response, or
+// before the first one from the call, and not while a request is in flight.
 func (c *serverConn) awaitFirstByte(limits Limits) error {
 	c.messages.startHeader(limits.MaxHeaderBytes + readBufferBytes)
+	started := time.Now()
 	for {
-		c.setIdleDeadline(limits.IdleTimeout)
+		c.setIdleDeadline(started, limits.IdleTimeout)
 		_, err := c.reader.Peek(1)
-		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.busy() {
+		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && !c.idleSince(started, limits.IdleTimeout) {
 			continue
 		}
 		return err
@@ -162,21 +165,35 @@
 }
 
 // setIdleDeadline sets the read deadline for the next request. On a connection that a
-// response has closed the deadline is lingerTimeout away instead of timeout.
-func (c *serverConn) setIdleDeadline(timeout time.Duration) {
+// response has closed the deadline is lingerTimeout away.
+func (c *serverConn) setIdleDeadline(started time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	deadline := c.idleStart(started).Add(timeout)
 	if c.closing {
-		timeout = lingerTimeout
+		deadline = time.Now().Add(lingerTimeout)
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+	_ = c.conn.SetReadDeadline(deadline)
 }
 
-// busy reports whether a request of the connection is in flight.
-func (c *serverConn) busy() bool {
+// idleSince reports whether no request has been in flight for the timeout, or a response has
+// closed the connection.
+func (c *serverConn) idleSince(started time.Time, timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue) > 0
+	return c.closing || time.Since(c.idleStart(started)) >= timeout
+}
+
+// idleStart returns since when no request has been in flight: now if there is one, else the time of
+// the latest response or the given time, whichever is later. It is called with mu held.
+func (c *serverConn) idleStart(started time.Time) time.Time {
+	if len(c.queue) > 0 {
+		return time.Now()
+	}
+	if c.lastResponse.After(started) {
+		return c.lastResponse
+	}
+	return started
 }
 
 func readBody(r *http.Request, limit int64) ([]byte, error) {
@@ -271,6 +288,7 @@
 	*buffer = appendResponse((*buffer)[:0], e.method, e.response, closing)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.conn.Write(*buffer)
+	c.lastResponse = time.Now()
 	if cap(*buffer) > maxPooledBufferBytes {
 		*buffer = make([]byte, 0, readBufferBytes)
 	}
