internal/h1: a rejected request is answered in its turn, and one without a body is not rejected

Cause: two faults in one place. The bound on buffered bodies was applied to requests without a body too. And a request that could not be read was answered only if no request of its connection was in flight; otherwise the connection was closed, which cancels those in flight. The second one holds for every such request: malformed, over a limit, or with a header that does not arrive in time. Change: the response to a request that was not read is queued behind those of the earlier requests, and the connection closes after it. A header that is late gets 408, which is true: it has not run. Test: TestRejectedRequestIsAnsweredInItsTurn; its cases for malformed and large requests failed before (unexpected EOF, connection reset).

--- a/internal/h1/server_test.go
+++ b/internal/h1/server_test.go
@@ -149,6 +149,38 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// Guards against a rejection of a request that closes its connection while earlier requests on it
+// run, so that they get no response.
+func TestRejectedRequestIsAnsweredInItsTurn(t *testing.T) {
+	for name, c := range map[string]struct {
+		second string
+		status int
+	}{
+		"too large":    {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n", http.StatusRequestEntityTooLarge},
+		"malformed":    {"GET\r\n\r\n", http.StatusBadRequest},
+		"large header": {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"slow header":  {"GET / HTTP/1.1\r\n", http.StatusRequestTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			_, address := startServer(t, func(context.Context, *Request) *Response {
+				<-release
+				return textResponse(http.StatusOK, "first")
+			}, testLimits())
+			conn, reader := dial(t, address)
+			go func() { _, _ = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+c.second) }()
+			time.AfterFunc(1500*time.Millisecond, func() { close(release) })
+			response, body := readResponse(t, reader)
+			assert.Equal(t, body, "first")
+			assert.Assert(t, !response.Close)
+			response, _ = readResponse(t, reader)
+			assert.Equal(t, response.StatusCode, c.status)
+			assert.Assert(t, response.Close)
+		})
+	}
+}
+
 // Guards against a kept connection that is closed as idle, although its last response was written
 // less than the idle timeout ago.
 func TestIdleTimeRunsFromTheLastResponse(t *testing.T) {
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -106,7 +106,6 @@
 		r, last, err := c.read(limits)
 		if err != nil {
 			c.handleReadError(err)
-			c.server.inFlight.Add(-1)
 			return
 		}
 		if !c.dispatch(r, last) || last {
@@ -132,7 +131,7 @@
 	if parsed.Header.Get("Expect") != "" {
 		c.sendContinue()
 	}
-	if held := c.server.buffered.Load(); limits.MaxBufferedBytes > 0 && held+max(0, parsed.ContentLength) > limits.MaxBufferedBytes {
+	if held := c.server.buffered.Load(); parsed.ContentLength != 0 && limits.MaxBufferedBytes > 0 && held+max(0, parsed.ContentLength) > limits.MaxBufferedBytes {
 		return nil, false, errBufferLimit
 	}
 	c.messages.startBody(limits.MaxBodyBytes + readBufferBytes)
@@ -247,14 +246,19 @@
 	return true
 }
 
-// serve runs the handler and writes all responses that are ready, up to the first
-// request without one.
+// serve runs the handler and writes all responses that are ready.
 func (c *serverConn) serve(e *exchange, r *Request) {
 	response := c.handle(r)
 	c.server.buffered.Add(-int64(len(r.Body)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.response = response
+	c.writeReady()
+}
+
+// writeReady writes all responses that are ready, up to the first request without one. It is
+// called with mu held.
+func (c *serverConn) writeReady() {
 	for len(c.queue) > 0 && c.queue[0].response != nil {
 		c.write(c.queue[0])
 		c.queue[0] = nil
@@ -312,38 +316,43 @@
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// handleReadError handles a request that could not be read; the connection is
-// closed afterwards. A malformed request or one over a limit gets an error status, unless
-// an earlier request is still without a response or an earlier response has closed the
-// connection.
+// handleReadError responds to a request that could not be read, in its turn after the earlier ones
+// of the connection, and then closes it. Without an error status the connection is closed at once:
+// it has failed, or its caller has closed it.
 func (c *serverConn) handleReadError(err error) {
-	status := 0
-	switch {
-	case errors.Is(err, errHeaderTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, errBodyTooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, errBufferLimit):
-		status = http.StatusServiceUnavailable
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
-	case isNetError(err):
-	default:
-		status = http.StatusBadRequest
-	}
+	status := statusOfReadError(err)
 	if status == 0 {
+		c.server.inFlight.Add(-1)
 		return
 	}
+	c.server.log.Info().Err(err).Str("from", c.remoteIP).Int("status", status).Msg("request not read")
 	c.mu.Lock()
-	responded := len(c.queue) == 0 && !c.closing
-	if responded {
-		e := &exchange{closing: true, response: &Response{Status: status, Header: http.Header{}}}
-		c.queue = append(c.queue, e)
-		c.write(e)
+	if c.closing {
+		c.server.inFlight.Add(-1)
+	} else {
+		c.queue = append(c.queue, &exchange{closing: true, response: &Response{Status: status, Header: http.Header{}}})
+		c.writeReady()
 	}
 	c.mu.Unlock()
-	if responded {
-		c.linger()
+	c.linger()
+}
+
+// statusOfReadError returns the status of a request that could not be read, zero if the connection
+// has failed.
+func statusOfReadError(err error) int {
+	switch {
+	case errors.Is(err, errHeaderTooLarge):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errBufferLimit):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), isNetError(err):
+		return 0
 	}
+	return http.StatusBadRequest
 }
 
 // isNetError reports whether the connection failed, as opposed to a malformed request.
