internal/h1, internal/mesh, internal/meshnode: request bodies are reserved before they are read

A body of more than 42.6 MiB with a length got 503 for ever, although max_body_bytes allows it. Cause: the bound compared what had been read whole with Content-Length. Bodies that are being read and bodies in chunks were not counted, and requests of peer nodes not at all. Released bodies take memory until they are collected. Change: the bytes of a body are reserved before they are read, from one memory that both listeners share; callers may fill half of it, so that a body that is held twice on one node can be passed on. What does not fit waits unread for up to 0.5 s and is then refused as not run: a caller gets 503 with Retry-After, a calling node moves the call. Bodies in chunks are reserved part by part; one gives way to those of older requests, since none would end if all kept what they have. Released bodies count until a collection. Small bodies have a memory of their own. Bodies above 1 MiB are held in parts, without a copy while they grow. The largest body that fits is the limit, with 413 beyond and a warning when a configuration allows more; on a node of 284 MiB that is 65 MiB.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -101,12 +101,13 @@
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	*buffer = appendRequestHead((*buffer)[:0], r)
-	if len(r.Body) > maxPooledBufferBytes/4 {
+	if len(r.Body) > maxPooledBufferBytes/4 || len(r.Rest) > 0 {
 		if _, err := c.conn.Write(*buffer); err != nil {
 			return nil, err
 		}
 		go func() {
-			_, err := c.conn.Write(r.Body)
+			body := append(net.Buffers{r.Body}, r.Rest...)
+			_, err := body.WriteTo(c.conn)
 			written <- err
 		}()
 		return written, nil
@@ -193,6 +194,9 @@
 	c.request.Method = r.Method
 	for {
 		parsed, err := http.ReadResponse(c.reader, &c.request)
+		if err != nil && c.messages.refused {
+			return nil, errBufferLimit
+		}
 		if err != nil && c.messages.exceeded() {
 			return nil, errors.Wrapf(errHeaderTooLarge, "response header: want at most %d bytes and %d lines", maxResponseHeaderBytes, maxHeaderLines)
 		}
@@ -203,7 +207,7 @@
 			return nil, err
 		}
 		if parsed.StatusCode >= http.StatusOK {
-			c.messages.startUnbounded()
+			c.messages.startBody()
 			return parsed, nil
 		}
 	}
--- /dev/null
+++ b/internal/h1/memory.go
@@ -0,0 +1,223 @@
+package h1
+
+import (
+	"runtime"
+	"runtime/metrics"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// reserveWait is how long a body that does not fit waits unread. It is a fraction of the time
+	// that callers wait for a response to an upload.
+	reserveWait = 500 * time.Millisecond
+	// gcCyclesToFree is the number of completed collections after which a body that was released
+	// before is free: the first may have begun earlier.
+	gcCyclesToFree = 2
+	gcCyclesMetric = "/gc/cycles/total:gc-cycles"
+)
+
+// Memory bounds the bytes of the bodies that are in memory, those that were released and not yet
+// collected too. It is safe for concurrent use.
+type Memory struct {
+	// limit is in bytes; zero means that there is none.
+	limit int64
+	// collect frees released bodies.
+	collect func()
+
+	mu   sync.Mutex
+	held int64
+	// released is what was released and may still take memory, releasedAt the number of completed
+	// collections at the latest release.
+	released   int64
+	releasedAt uint64
+	// waiters holds the reservations that wait, that of the oldest request first.
+	waiters []*waiter
+	// growing holds the bodies without a stated length that are being read, that of the oldest
+	// request first. None of them could be read to its end if all kept what they have.
+	growing []*holder
+}
+
+// Portion is the part of a Memory that one server may use.
+type Portion struct {
+	memory *Memory
+	limit  int64
+	// held is guarded by memory.mu.
+	held int64
+}
+
+// holder is the body of one request that has reserved bytes.
+type holder struct {
+	// arrived is when the request arrived.
+	arrived time.Time
+	// evicted is set on a growing body that must give way to that of an older request. It is
+	// guarded by the memory's lock.
+	evicted bool
+}
+
+// waiter is a reservation that waits. done receives nil once the bytes are reserved, or the error.
+type waiter struct {
+	holder  *holder
+	portion *Portion
+	bytes   int64
+	done    chan error
+}
+
+// NewMemory returns a Memory of a number of bytes; with zero it is not bounded.
+func NewMemory(limit int64) *Memory {
+	return &Memory{limit: limit, collect: runtime.GC}
+}
+
+// Portion returns a portion of a number of bytes, which may overlap with others; with zero it has
+// the bound of the memory only.
+func (m *Memory) Portion(limit int64) *Portion {
+	return &Portion{memory: m, limit: limit}
+}
+
+// Largest returns the largest number of bytes that a body may have to fit at all, zero for any.
+func (p *Portion) Largest() int64 {
+	if p.limit == 0 || p.memory.limit == 0 {
+		return max(p.limit, p.memory.limit)
+	}
+	return min(p.limit, p.memory.limit)
+}
+
+// reserve reserves bytes. If they are not free it waits a short while, older requests first, and
+// then returns errBufferLimit.
+func (p *Portion) reserve(h *holder, bytes int64) error {
+	m := p.memory
+	m.mu.Lock()
+	if h.evicted {
+		m.mu.Unlock()
+		return errBufferLimit
+	}
+	if m.tryReserve(p, bytes) {
+		m.mu.Unlock()
+		return nil
+	}
+	w := &waiter{holder: h, portion: p, bytes: bytes, done: make(chan error, 1)}
+	i, _ := slices.BinarySearchFunc(m.waiters, w, func(a, b *waiter) int { return a.holder.arrived.Compare(b.holder.arrived) })
+	m.waiters = slices.Insert(m.waiters, i, w)
+	m.evictFor(h)
+	m.mu.Unlock()
+	timer := time.NewTimer(reserveWait)
+	defer timer.Stop()
+	select {
+	case err := <-w.done:
+		return err
+	case <-timer.C:
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.removeWaiter(w) {
+		return errBufferLimit
+	}
+	return <-w.done
+}
+
+// removeWaiter reports whether a reservation still waits, and ends that. The lock must be held.
+func (m *Memory) removeWaiter(w *waiter) bool {
+	i := slices.Index(m.waiters, w)
+	if i < 0 {
+		return false
+	}
+	m.waiters = slices.Delete(m.waiters, i, i+1)
+	return true
+}
+
+// startGrowing records that a body without a stated length is being read, and stopGrowing that it
+// no longer is.
+func (m *Memory) startGrowing(h *holder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(m.growing, h, func(a, b *holder) int { return a.arrived.Compare(b.arrived) })
+	m.growing = slices.Insert(m.growing, i, h)
+}
+
+func (m *Memory) stopGrowing(h *holder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.growing = slices.DeleteFunc(m.growing, func(other *holder) bool { return other == h })
+}
+
+// evictFor evicts the growing body of the newest request, if that is newer than the request of h,
+// which waits. The lock must be held.
+func (m *Memory) evictFor(h *holder) {
+	for _, victim := range slices.Backward(m.growing) {
+		if !victim.arrived.After(h.arrived) {
+			return
+		}
+		if victim.evicted {
+			continue
+		}
+		victim.evicted = true
+		for _, w := range m.waiters {
+			if w.holder == victim {
+				m.removeWaiter(w)
+				w.done <- errBufferLimit
+				break
+			}
+		}
+		return
+	}
+}
+
+// tryReserve reserves bytes if they are free. The lock must be held.
+func (m *Memory) tryReserve(p *Portion, bytes int64) bool {
+	if p.limit > 0 && p.held+bytes > p.limit || m.limit > 0 && m.held+bytes > m.limit {
+		return false
+	}
+	if m.limit > 0 && m.held+m.released+bytes > m.limit {
+		m.free()
+	}
+	p.held += bytes
+	m.held += bytes
+	return true
+}
+
+// free makes released bodies available again, by a collection unless others have done it. The lock
+// must be held, so that no other body takes the memory meanwhile.
+func (m *Memory) free() {
+	if completedCollections() < m.releasedAt+gcCyclesToFree {
+		m.collect()
+	}
+	m.released = 0
+}
+
+// release returns bytes of a portion and grants the reservations that fit now.
+func (p *Portion) release(bytes int64) {
+	if bytes == 0 {
+		return
+	}
+	m := p.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.held -= bytes
+	m.held -= bytes
+	if m.limit == 0 {
+		return
+	}
+	m.released += bytes
+	m.releasedAt = completedCollections()
+	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool {
+		if !m.tryReserve(w.portion, w.bytes) {
+			return false
+		}
+		w.done <- nil
+		return true
+	})
+	if len(m.waiters) > 0 {
+		m.evictFor(m.waiters[0].holder)
+	}
+}
+
+// completedCollections returns the number of garbage collections that have ended so far.
+func completedCollections() uint64 {
+	sample := []metrics.Sample{{Name: gcCyclesMetric}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return sample[0].Value.Uint64()
+}
--- a/internal/h1/message.go
+++ b/internal/h1/message.go
@@ -18,7 +18,9 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body, or of a body of more than 1 MiB the first part; Rest holds the others.
+	Body []byte
+	Rest [][]byte
 	// Arrived is when the first byte of the request was read. Only a Server sets it.
 	Arrived time.Time
 	// ID identifies the call to which the request belongs, empty if it is not known. Another
@@ -50,6 +52,23 @@
 	Serve(ctx context.Context, r *Request) *Response
 }
 
+// BodyLength returns the number of bytes of the whole body.
+func (r *Request) BodyLength() int {
+	length := len(r.Body)
+	for _, part := range r.Rest {
+		length += len(part)
+	}
+	return length
+}
+
+// Refuser is a Handler that makes the responses to requests whose body was not read, for want of
+// memory. Without one they have status 503 and no header.
+type Refuser interface {
+	Handler
+	// Refuse returns the response to a request without its body. The response must not be nil.
+	Refuse(r *Request) *Response
+}
+
 // HandlerFunc is an adapter that makes a function a Handler.
 type HandlerFunc func(ctx context.Context, r *Request) *Response
 
@@ -70,11 +89,6 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds the wait for the next request while none is in flight.
 	IdleTimeout time.Duration
-	// MaxBufferedBytes bounds the total size of the request bodies that a server
-	// holds at a time; zero means no limit. The bound is approximate: a body counts only
-	// once it has been read, so bodies that are read at the same time and a body without
-	// Content-Length may exceed it.
-	MaxBufferedBytes int64
 }
 
 // connectionHeaders apply to a single connection and are never forwarded.
--- a/internal/h1/messagereader.go
+++ b/internal/h1/messagereader.go
@@ -15,8 +15,8 @@
 	headerMemoryFactor = 2
 )
 
-// messageReader reads the messages of a connection and bounds the header or body that is being
-// read. Beyond a bound it reads io.EOF, and exceeded reports that.
+// messageReader reads the messages of a connection and bounds the header that is being read. Beyond
+// a bound it reads io.EOF, and exceeded reports that.
 type messageReader struct {
 	conn io.Reader
 	// left is the number of bytes that may still be read.
@@ -28,6 +28,9 @@
 	// account, unless nil, reserves the memory of the header beyond its first block.
 	account  *byteAccount
 	reserved int64
+	// refused is set once the account did not allow the header to grow. The parser may report
+	// another error then, since it takes what it has read of a line for the whole line.
+	refused bool
 }
 
 // startHeader bounds the next header, with all that precedes it, to limit bytes and to
@@ -36,17 +39,12 @@
 	r.left, r.inHeader, r.lines, r.blocks = limit, true, 0, 0
 }
 
-// startBody bounds the rest of the current message to limit bytes.
-func (r *messageReader) startBody(limit int64) {
-	r.left, r.inHeader = limit, false
+// startBody ends the bounds of the header. The reader of the body has its own.
+func (r *messageReader) startBody() {
+	r.left, r.inHeader = math.MaxInt64, false
 }
 
-// startUnbounded ends the bounds.
-func (r *messageReader) startUnbounded() {
-	r.startBody(math.MaxInt64)
-}
-
-// exceeded reports whether the current header or body has reached its bound.
+// exceeded reports whether the current header has reached its bound.
 func (r *messageReader) exceeded() bool {
 	return r.left <= 0
 }
@@ -66,6 +64,7 @@
 	n, err := r.conn.Read(p)
 	r.left -= int64(n)
 	if r.inHeader && !r.noteHeaderBlock(p[:n]) {
+		r.refused = true
 		return 0, errBufferLimit
 	}
 	return n, err
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -16,6 +16,10 @@
 	limits  func() Limits
 	log     zerolog.Logger
 
+	// bodies accounts for the bodies of requests, from the first byte read until the handler has
+	// returned.
+	bodies BodyMemory
+
 	// keepAlivesDisabled makes every response close its connection.
 	keepAlivesDisabled atomic.Bool
 
@@ -25,14 +29,16 @@
 
 	// inFlight counts the requests of which a byte was read and that have no response yet.
 	inFlight atomic.Int64
-	// buffered is the total size in bytes of the bodies of the requests whose handler
-	// runs.
-	buffered atomic.Int64
 }
 
 // NewServer returns a server. It calls limits for each request.
 func NewServer(handler Handler, limits func() Limits, log zerolog.Logger) *Server {
-	return &Server{handler: handler, limits: limits, log: log, conns: make(map[*serverConn]struct{})}
+	return &Server{handler: handler, limits: limits, log: log, bodies: unboundedBodies(), conns: make(map[*serverConn]struct{})}
+}
+
+// LimitBodies bounds the memory for the bodies of requests. It must be called before Serve.
+func (s *Server) LimitBodies(memory BodyMemory) {
+	s.bodies = memory
 }
 
 // Serve accepts connections until the listener is closed.
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -103,12 +103,14 @@
 			return
 		}
 		c.server.inFlight.Add(1)
-		r, last, err := c.read(limits)
+		reservation := newBodyReservation(c.server.bodies, time.Now())
+		r, last, err := c.read(limits, reservation)
 		if err != nil {
-			c.handleReadError(err)
+			reservation.release()
+			c.handleReadError(r, err)
 			return
 		}
-		if !c.dispatch(r, last) || last {
+		if !c.dispatch(r, last, reservation) || last {
 			c.linger()
 			return
 		}
@@ -116,10 +118,10 @@
 }
 
 // read returns the request whose first byte has arrived and whether it is the last one, that
-// is, whether its caller asked for the connection to be closed.
-func (c *serverConn) read(limits Limits) (*Request, bool, error) {
-	arrived := time.Now()
-	_ = c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
+// is, whether its caller asked for the connection to be closed. With an error it returns the
+// request without its body, nil if the header could not be read.
+func (c *serverConn) read(limits Limits, reservation *bodyReservation) (*Request, bool, error) {
+	_ = c.conn.SetReadDeadline(reservation.holder.arrived.Add(limits.HeaderTimeout))
 	parsed, err := http.ReadRequest(c.reader)
 	if err != nil {
 		if c.messages.exceeded() {
@@ -128,24 +130,25 @@
 		return nil, false, err
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
-	if parsed.Header.Get("Expect") != "" {
-		c.sendContinue()
-	}
-	if held := c.server.buffered.Load(); parsed.ContentLength != 0 && limits.MaxBufferedBytes > 0 && held+max(0, parsed.ContentLength) > limits.MaxBufferedBytes {
-		return nil, false, errBufferLimit
-	}
-	c.messages.startBody(limits.MaxBodyBytes + readBufferBytes)
-	body, err := readBody(parsed, limits.MaxBodyBytes)
-	if err != nil {
-		return nil, false, err
-	}
-	last := parsed.Close
 	r := &Request{
 		Method: parsed.Method, Target: parsed.RequestURI, Host: parsed.Host, Header: parsed.Header,
-		Body: body, Arrived: arrived, RemoteIP: c.remoteIP,
+		Arrived: reservation.holder.arrived, RemoteIP: c.remoteIP,
 	}
+	expectsContinue := parsed.Header.Get("Expect") != ""
 	removeConnectionHeaders(r.Header)
-	return r, last, nil
+	c.messages.startBody()
+	parts, err := readRequestBody(parsed, limits.MaxBodyBytes, reservation, func() {
+		if expectsContinue {
+			c.sendContinue()
+		}
+	})
+	if err != nil {
+		return r, false, err
+	}
+	if len(parts) > 0 {
+		r.Body, r.Rest = parts[0], parts[1:]
+	}
+	return r, parsed.Close, nil
 }
 
 // awaitFirstByte waits for a request. The idle timeout runs from the latest response, or
@@ -195,25 +198,6 @@
 	return started
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > limit {
-		return nil, errBodyTooLarge
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, err
-}
-
 // sendContinue sends the interim response 100, unless earlier requests are in flight,
 // whose responses have to be sent first.
 func (c *serverConn) sendContinue() {
@@ -228,7 +212,7 @@
 // dispatch runs the handler in a new goroutine, after a wait while maxPipelined
 // requests are in flight. It returns false without running the handler if an earlier
 // response has closed the connection: such a request counts as not read.
-func (c *serverConn) dispatch(r *Request, last bool) bool {
+func (c *serverConn) dispatch(r *Request, last bool, reservation *bodyReservation) bool {
 	e := &exchange{method: r.Method, closing: last}
 	c.mu.Lock()
 	for len(c.queue) >= maxPipelined && !c.closing {
@@ -236,20 +220,20 @@
 	}
 	if c.closing {
 		c.mu.Unlock()
+		reservation.release()
 		c.server.inFlight.Add(-1)
 		return false
 	}
 	c.queue = append(c.queue, e)
 	c.mu.Unlock()
-	c.server.buffered.Add(int64(len(r.Body)))
-	go c.serve(e, r)
+	go c.serve(e, r, reservation)
 	return true
 }
 
 // serve runs the handler and writes all responses that are ready.
-func (c *serverConn) serve(e *exchange, r *Request) {
+func (c *serverConn) serve(e *exchange, r *Request, reservation *bodyReservation) {
 	response := c.handle(r)
-	c.server.buffered.Add(-int64(len(r.Body)))
+	reservation.release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.response = response
@@ -318,25 +302,39 @@
 
 // handleReadError responds to a request that could not be read, in its turn after the earlier ones
 // of the connection, and then closes it. Without an error status the connection is closed at once:
-// it has failed, or its caller has closed it.
-func (c *serverConn) handleReadError(err error) {
-	status := statusOfReadError(err)
-	if status == 0 {
+// it has failed, or its caller has closed it. r is nil if the header could not be read.
+func (c *serverConn) handleReadError(r *Request, err error) {
+	response := c.responseTo(r, err)
+	if response == nil {
 		c.server.inFlight.Add(-1)
 		return
 	}
-	c.server.log.Info().Err(err).Str("from", c.remoteIP).Int("status", status).Msg("request not read")
+	c.server.log.Info().Err(err).Str("from", c.remoteIP).Int("status", response.Status).Msg("request not read")
 	c.mu.Lock()
 	if c.closing {
 		c.server.inFlight.Add(-1)
 	} else {
-		c.queue = append(c.queue, &exchange{closing: true, response: &Response{Status: status, Header: http.Header{}}})
+		c.queue = append(c.queue, &exchange{closing: true, response: response})
 		c.writeReady()
 	}
 	c.mu.Unlock()
 	c.linger()
 }
 
+// responseTo returns the response to a request that could not be read, or nil if there is none.
+func (c *serverConn) responseTo(r *Request, err error) *Response {
+	if errors.Is(err, errBufferLimit) {
+		if refuser, ok := c.server.handler.(Refuser); ok {
+			return refuser.Refuse(r)
+		}
+	}
+	status := statusOfReadError(err)
+	if status == 0 {
+		return nil
+	}
+	return &Response{Status: status, Header: http.Header{}}
+}
+
 // statusOfReadError returns the status of a request that could not be read, zero if the connection
 // has failed.
 func statusOfReadError(err error) int {
@@ -372,6 +370,6 @@
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	}
 	c.mu.Unlock()
-	c.messages.startUnbounded()
+	c.messages.startBody()
 	_, _ = io.Copy(io.Discard, c.reader)
 }
--- a/internal/h1/write.go
+++ b/internal/h1/write.go
@@ -46,8 +46,8 @@
 	b = append(b, r.Host...)
 	b = append(b, "\r\n"...)
 	b = appendHeader(b, r.Header)
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b = appendLength(b, len(r.Body))
+	if length := r.BodyLength(); length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = appendLength(b, length)
 	}
 	return append(b, "\r\n"...)
 }
--- a/internal/mesh/outbound.go
+++ b/internal/mesh/outbound.go
@@ -140,6 +140,14 @@
 	return response
 }
 
+// Refuse implements h1.Refuser for a call whose body does not fit into the memory for bodies.
+func (c *Outbound) Refuse(r *h1.Request) *h1.Response {
+	c.calls.Inc(1)
+	call.StripReserved(r.Header)
+	info := c.config.Protocol.DecodeCall(r.Header)
+	return c.refuse(r, info, nil, 0, resultcode.New(resultcode.Overloaded, "the bodies of other requests fill the memory of this node"))
+}
+
 // cancelCause returns why a call was cancelled.
 func (c *Outbound) cancelCause() *resultcode.Error {
 	if c.stopped.Err() != nil {
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -301,6 +301,16 @@
 	return u.report(c, response, v)
 }
 
+// Refuse implements h1.Refuser for a call of a peer node whose body does not fit into the memory for
+// bodies.
+func (u *Upstream) Refuse(r *h1.Request) *h1.Response {
+	p, err := decodeHop(r.Header)
+	if err != nil {
+		return u.refuse(hop{}, nil, resultcode.Wrap(err, resultcode.MalformedHeader, "call from %s", r.RemoteIP))
+	}
+	return u.refuse(p, nil, resultcode.New(resultcode.Overloaded, "the bodies of other calls fill the memory of this node"))
+}
+
 // send performs the exchange with the upstream. The response is nil when there was
 // none.
 func (u *Upstream) send(ctx context.Context, c *instance, p hop, r *h1.Request, deadline time.Time) (*h1.Response, outcome) {
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -31,13 +31,9 @@
 )
 
 const (
-	// heapFraction is the fraction of the memory limit that the Go heap may
-	// use; the rest is for kernel buffers and stacks.
-	heapFraction = 0.5
-	// bodyFraction is the fraction of the memory limit that request bodies may
-	// fill at each of the two listeners, and large response bodies of the upstream while they
-	// are read.
-	bodyFraction = 0.15
+	// heapFraction is the fraction of the memory limit that the Go heap may use; the rest is for
+	// kernel buffers and stacks. It leaves room beyond the bodies for their replacement.
+	heapFraction = 0.8
 	// gcPercent is the value of GOGC. It trades memory, of which there is plenty, for
 	// processor time.
 	gcPercent = 200
@@ -112,7 +108,7 @@
 	Bounds Bounds
 	// Heartbeat is how often the upstream announces itself.
 	Heartbeat time.Duration
-	// MemoryMiB is the memory limit that heapFraction and bodyFraction refer to; with
+	// MemoryMiB is the memory limit that the fractions above refer to; with
 	// zero, neither the heap nor the total size of the request bodies is limited.
 	MemoryMiB int64
 	Log       zerolog.Logger
@@ -152,6 +148,8 @@
 	// there is none or its adoption has begun. candidateVersion is the version of the latest one.
 	candidate        *directory.Entry
 	candidateVersion uint64
+	// bodyLimit is the bound on a body in the configuration that checkBodyLimit checked last.
+	bodyLimit atomic.Int64
 	// wasReady is set once the node has known a ready instance of every service that has a
 	// route.
 	wasReady atomic.Bool
@@ -207,39 +205,23 @@
 	inFlight := mesh.NewInFlightCalls()
 	n.upstream = mesh.NewUpstream(mesh.UpstreamConfig{
 		Protocol: c.Protocol, InFlight: inFlight, DrainGracePeriod: c.Bounds.drainGracePeriod(),
-		Values: values, OnUnreachable: n.markUpstreamUnreachable, OnLeaving: n.markUpstreamLeaving, MaxBufferedBytes: n.maxBufferedBytes(), Log: c.Log, Scope: scope,
+		Values: values, OnUnreachable: n.markUpstreamUnreachable, OnLeaving: n.markUpstreamLeaving, MaxBufferedBytes: n.memory(responseFraction), Log: c.Log, Scope: scope,
 	})
 	n.outbound = mesh.NewOutbound(mesh.OutboundConfig{
 		Service: c.Service, InFlight: inFlight, Protocol: c.Protocol, Routes: n.document.Table,
 		Instances: n.instances, Peers: n.peerPools, Budget: n.budget, Log: c.Log, Scope: scope,
 	})
-	n.callers = h1.NewServer(n.outbound, n.limits, c.Log)
-	n.peers = h1.NewServer(h1.HandlerFunc(n.servePeer), func() h1.Limits { return mesh.PeerLimits(n.limits().MaxBodyBytes) }, c.Log)
+	n.buildServers()
 	n.directory.OnChange(n.directoryChanged)
 	n.directory.OnEarlierEntry(n.noteEarlierEntry)
 	n.directory.OnLeaveMissing(func(known, newer directory.Entry) { n.gossiper.ReportLeave(context.Background(), known, newer) })
-	n.document.OnChange(func(*routing.Table) {
+	n.document.OnChange(func(table *routing.Table) {
+		n.checkBodyLimit(table)
 		n.gossiper.DisseminateConfig()
 		n.considerAdoption()
 	})
 }
 
-// limits returns the limits on requests of callers: those of the configuration in force,
-// or the defaults before the first configuration.
-func (n *Node) limits() h1.Limits {
-	limits := routing.DefaultLimits()
-	if table := n.document.Table(); table != nil {
-		limits = table.Limits
-	}
-	limits.MaxBufferedBytes = n.maxBufferedBytes()
-	return limits
-}
-
-// maxBufferedBytes returns the bound on the bodies of one kind that are in memory, zero for none.
-func (n *Node) maxBufferedBytes() int64 {
-	return int64(bodyFraction * float64(n.config.MemoryMiB<<20))
-}
-
 // Start begins to serve calls, to exchange with peer nodes and to follow the store, and
 // returns. The exchanges and the following of the store end with ctx; calls are served
 // until Shutdown.
@@ -256,15 +238,6 @@
 	go n.syncer.Run(ctx)
 }
 
-// servePeer serves a request of a peer node: a gossip message or a call for the local
-// upstream.
-func (n *Node) servePeer(ctx context.Context, r *h1.Request) *h1.Response {
-	if r.Target == gossip.Path {
-		return n.gossiper.Serve(ctx, r)
-	}
-	return n.upstream.Serve(ctx, r)
-}
-
 // settingsChanged applies the settings in force to the components that use
 // them.
 func (n *Node) settingsChanged() {
