internal/h1: a small body does not give way to the large one of an older request

Seen: TestBodiesStayWithinTheMemory failed once, a body of 1,000 bytes in chunks got 503 beside large uploads; then in 1 of 25 runs. Cause: every body without a stated length counted as growing from its beginning, and the newest growing one is evicted for an older request that waits, also one that holds none of the memory in question. Change: a body counts as growing from its first reservation of the memory for large bodies on. Tests: TestSmallBodyIsNotEvicted fails on the code before (the reader gives up; the run hung on its pipe until the test's timeout, which is why the pipe is fed concurrently now); 25 runs of TestBodiesStayWithinTheMemory pass.

--- a/internal/h1/memory.go
+++ b/internal/h1/memory.go
@@ -34,8 +34,8 @@
 	releasedAt uint64
 	// waiters holds the reservations that wait, that of the oldest request first.
 	waiters []*waiter
-	// growing holds the bodies without a stated length that are being read, that of the oldest
-	// request first. None of them could be read to its end if all kept what they have.
+	// growing holds the bodies without a stated length that have reserved bytes and are being read,
+	// that of the oldest request first. None could be read to its end if all kept what they have.
 	growing []*holder
 }
 
@@ -126,8 +126,8 @@
 	return true
 }
 
-// startGrowing records that a body without a stated length is being read, and stopGrowing that it
-// no longer is.
+// startGrowing records that a body without a stated length has reserved bytes and is being read,
+// and stopGrowing that it no longer is.
 func (m *Memory) startGrowing(h *holder) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/h1/requestbody.go
+++ b/internal/h1/requestbody.go
@@ -34,6 +34,8 @@
 	memory       BodyMemory
 	holder       *holder
 	small, large int64
+	// growing is set while a body without a stated length is read.
+	growing bool
 }
 
 func newBodyReservation(memory BodyMemory, arrived time.Time) *bodyReservation {
@@ -46,11 +48,14 @@
 	if b.small+b.large+bytes <= smallBodyBytes {
 		portion, held = b.memory.Small, &b.small
 	}
-	err := portion.reserve(b.holder, bytes)
-	if err == nil {
-		*held += bytes
+	if err := portion.reserve(b.holder, bytes); err != nil {
+		return err
 	}
-	return err
+	*held += bytes
+	if b.growing && b.large == bytes {
+		b.memory.Large.memory.startGrowing(b.holder)
+	}
+	return nil
 }
 
 // release returns all that was reserved. The body must not be used any more.
@@ -94,9 +99,8 @@
 
 // readGrowingBody reads a body without a stated length; see readRequestBody.
 func readGrowingBody(body io.Reader, limit int64, reservation *bodyReservation, onReserved func()) ([][]byte, error) {
-	large := reservation.memory.Large.memory
-	large.startGrowing(reservation.holder)
-	defer large.stopGrowing(reservation.holder)
+	reservation.growing = true
+	defer reservation.memory.Large.memory.stopGrowing(reservation.holder)
 	var parts [][]byte
 	total := int64(0)
 	for size := int64(firstPartBytes); ; size = min(2*size, maxPartBytes) {
--- a/internal/h1/requestbody_test.go
+++ b/internal/h1/requestbody_test.go
@@ -168,3 +168,27 @@
 	assert.Equal(t, m.held, int64(90))
 	assert.Equal(t, len(m.waiters), 0)
 }
+
+// Guards against a small body that gives way to the large one of an older request, although it holds
+// none of the memory for large bodies.
+func TestSmallBodyIsNotEvicted(t *testing.T) {
+	large := NewMemory(100 << 10)
+	memory := BodyMemory{Small: NewMemory(1 << 20).Portion(0), Large: large.Portion(0)}
+	now := time.Now()
+	assert.NilError(t, newBodyReservation(memory, now).reserve(90<<10))
+	older := make(chan error, 1)
+	body, feed := io.Pipe()
+	newer := make(chan error, 1)
+	go func() {
+		_, err := readGrowingBody(body, 1<<20, newBodyReservation(memory, now.Add(time.Second)), func() {})
+		newer <- err
+	}()
+	_, _ = feed.Write(make([]byte, firstPartBytes))
+	go func() { older <- newBodyReservation(memory, now).reserve(90 << 10) }()
+	time.AfterFunc(50*time.Millisecond, func() {
+		_, _ = feed.Write(make([]byte, firstPartBytes))
+		_ = feed.Close()
+	})
+	assert.NilError(t, <-newer)
+	assert.ErrorIs(t, <-older, errBufferLimit)
+}
