--- a/internal/h1/requestbody_test.go
+++ b/internal/h1/requestbody_test.go
@@ -119,6 +119,8 @@
 		return textResponse(http.StatusOK, "first")
 	}}, testLimits, zerolog.Nop())
 	s.LimitBodies(BodyMemory{Small: NewMemory(1 << 20).Portion(0), Large: NewMemory(1 << 19).Portion(0)})
+	unread := make(chan int, 1)
+	s.OnUnread(func(status int) { unread <- status })
 	conn, reader := dial(t, serveOn(t, s))
 	go func() { _, _ = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+upload("/2", 1<<20, false)) }()
 	time.AfterFunc(time.Second, func() { close(release) })
@@ -128,6 +130,7 @@
 	response, body = readResponse(t, reader)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, body, "/2")
+	assert.Equal(t, <-unread, http.StatusServiceUnavailable)
 	assert.Assert(t, response.Close)
 }
 
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -19,6 +19,8 @@
 	// bodies accounts for the bodies of requests, from the first byte read until the handler has
 	// returned.
 	bodies BodyMemory
+	// onUnread is called with the status of each response to a request that could not be read.
+	onUnread func(status int)
 
 	// keepAlivesDisabled makes every response close its connection.
 	keepAlivesDisabled atomic.Bool
@@ -33,7 +35,7 @@
 
 // NewServer returns a server. It calls limits for each request.
 func NewServer(handler Handler, limits func() Limits, log zerolog.Logger) *Server {
-	return &Server{handler: handler, limits: limits, log: log, bodies: unboundedBodies(), conns: make(map[*serverConn]struct{})}
+	return &Server{handler: handler, limits: limits, log: log, bodies: unboundedBodies(), onUnread: func(int) {}, conns: make(map[*serverConn]struct{})}
 }
 
 // LimitBodies bounds the memory for the bodies of requests. It must be called before Serve.
@@ -41,6 +43,12 @@
 	s.bodies = memory
 }
 
+// OnUnread registers a function that is called with the status of each response to a request that
+// could not be read. It must be called before Serve.
+func (s *Server) OnUnread(f func(status int)) {
+	s.onUnread = f
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -310,6 +310,7 @@
 		return
 	}
 	c.server.log.Info().Err(err).Str("from", c.remoteIP).Int("status", response.Status).Msg("request not read")
+	c.server.onUnread(response.Status)
 	c.mu.Lock()
 	if c.closing {
 		c.server.inFlight.Add(-1)
--- a/internal/meshnode/bodies.go
+++ b/internal/meshnode/bodies.go
@@ -1,6 +1,10 @@
 package meshnode
 
 import (
+	"strconv"
+
+	"github.com/uber-go/tally/v4"
+
 	"github.com/mustardwing/mustardwing/internal/h1"
 	"github.com/mustardwing/mustardwing/internal/mesh"
 	"github.com/mustardwing/mustardwing/internal/routing"
@@ -22,9 +26,14 @@
 )
 
 // buildServers creates the servers for callers and peer nodes, which share the memory for bodies.
-func (n *Node) buildServers() {
+func (n *Node) buildServers(scope tally.Scope) {
 	n.callers = h1.NewServer(n.outbound, n.limits, n.config.Log)
 	n.peers = h1.NewServer(peerHandler{n}, n.peerLimits, n.config.Log)
+	for _, server := range []*h1.Server{n.callers, n.peers} {
+		server.OnUnread(func(status int) {
+			scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_unread").Inc(1)
+		})
+	}
 	large := h1.NewMemory(n.memory(bodyFraction))
 	small := func() *h1.Portion { return h1.NewMemory(n.memory(smallBodyFraction)).Portion(0) }
 	n.callers.LimitBodies(h1.BodyMemory{Small: small(), Large: large.Portion(n.memory(callerBodyFraction))})
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -211,7 +211,7 @@
 		Service: c.Service, InFlight: inFlight, Protocol: c.Protocol, Routes: n.document.Table,
 		Instances: n.instances, Peers: n.peerPools, Budget: n.budget, Log: c.Log, Scope: scope,
 	})
-	n.buildServers()
+	n.buildServers(scope)
 	n.directory.OnChange(n.directoryChanged)
 	n.directory.OnEarlierEntry(n.noteEarlierEntry)
 	n.directory.OnLeaveMissing(func(known, newer directory.Entry) { n.gossiper.ReportLeave(context.Background(), known, newer) })
