internal/h1, internal/meshnode: released bodies count for as long as they take memory, not longer

Each release of a body set the clock for all released ones, so that a node with steady uploads would have collected by force although its collections had freed them; small bodies were counted too. And a body in chunks within 1 MiB of the largest size was refused for want of memory for ever, since its last part is reserved whole.

--- a/internal/h1/memory.go
+++ b/internal/h1/memory.go
@@ -2,36 +2,26 @@
 
 import (
 	"runtime"
-	"runtime/metrics"
 	"slices"
 	"sync"
 	"time"
 )
 
-const (
-	// reserveWait is how long a body that does not fit waits unread. It is a fraction of the time
-	// that callers wait for a response to an upload.
-	reserveWait = 500 * time.Millisecond
-	// gcCyclesToFree is the number of completed collections after which a body that was released
-	// before is free: the first may have begun earlier.
-	gcCyclesToFree = 2
-	gcCyclesMetric = "/gc/cycles/total:gc-cycles"
-)
+// reserveWait is how long a body that does not fit waits unread. It is a fraction of the time that
+// callers wait for a response to an upload.
+const reserveWait = 500 * time.Millisecond
 
-// Memory bounds the bytes of the bodies that are in memory, those that were released and not yet
-// collected too. It is safe for concurrent use.
+// Memory bounds the bytes of the bodies that are in memory. It is safe for concurrent use.
 type Memory struct {
 	// limit is in bytes; zero means that there is none.
 	limit int64
-	// collect frees released bodies.
+	// collect frees released bodies; nil if these do not count.
 	collect func()
 
 	mu   sync.Mutex
 	held int64
-	// released is what was released and may still take memory, releasedAt the number of completed
-	// collections at the latest release.
-	released   int64
-	releasedAt uint64
+	// released counts the bytes that were released and may still take memory.
+	released releasedBytes
 	// waiters holds the reservations that wait, that of the oldest request first.
 	waiters []*waiter
 	// growing holds the bodies without a stated length that have reserved bytes and are being read,
@@ -66,6 +56,12 @@
 
 // NewMemory returns a Memory of a number of bytes; with zero it is not bounded.
 func NewMemory(limit int64) *Memory {
+	return &Memory{limit: limit}
+}
+
+// NewCollectedMemory returns a Memory in which released bodies count until the garbage collector has
+// freed them. It is for large bodies, since it collects when released ones fill it.
+func NewCollectedMemory(limit int64) *Memory {
 	return &Memory{limit: limit, collect: runtime.GC}
 }
 
@@ -75,12 +71,14 @@
 	return &Portion{memory: m, limit: limit}
 }
 
-// Largest returns the largest number of bytes that a body may have to fit at all, zero for any.
-func (p *Portion) Largest() int64 {
-	if p.limit == 0 || p.memory.limit == 0 {
-		return max(p.limit, p.memory.limit)
+// largestBody returns the size up to which a body fits, zero for any. The last part of a body without
+// a stated length may exceed the rest of it.
+func (p *Portion) largestBody() int64 {
+	limit := p.limit
+	if limit == 0 {
+		limit = p.memory.limit
 	}
-	return min(p.limit, p.memory.limit)
+	return max(0, limit-maxPartBytes)
 }
 
 // reserve reserves bytes. If they are not free it waits a short while, older requests first, and
@@ -168,23 +166,16 @@
 	if p.limit > 0 && p.held+bytes > p.limit || m.limit > 0 && m.held+bytes > m.limit {
 		return false
 	}
-	if m.limit > 0 && m.held+m.released+bytes > m.limit {
-		m.free()
+	if m.limit > 0 && m.collect != nil && m.held+m.released.at(completedCollections())+bytes > m.limit {
+		// Without the lock another body could take the memory meanwhile.
+		m.collect()
+		m.released = releasedBytes{}
 	}
 	p.held += bytes
 	m.held += bytes
 	return true
 }
 
-// free makes released bodies available again, by a collection unless others have done it. The lock
-// must be held, so that no other body takes the memory meanwhile.
-func (m *Memory) free() {
-	if completedCollections() < m.releasedAt+gcCyclesToFree {
-		m.collect()
-	}
-	m.released = 0
-}
-
 // release returns bytes of a portion and grants the reservations that fit now.
 func (p *Portion) release(bytes int64) {
 	if bytes == 0 {
@@ -195,11 +186,9 @@
 	defer m.mu.Unlock()
 	p.held -= bytes
 	m.held -= bytes
-	if m.limit == 0 {
-		return
+	if m.limit > 0 && m.collect != nil {
+		m.released.add(completedCollections(), bytes)
 	}
-	m.released += bytes
-	m.releasedAt = completedCollections()
 	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool {
 		if !m.tryReserve(w.portion, w.bytes) {
 			return false
@@ -211,13 +200,3 @@
 		m.evictFor(m.waiters[0].holder)
 	}
 }
-
-// completedCollections returns the number of garbage collections that have ended so far.
-func completedCollections() uint64 {
-	sample := []metrics.Sample{{Name: gcCyclesMetric}}
-	metrics.Read(sample)
-	if sample[0].Value.Kind() != metrics.KindUint64 {
-		return 0
-	}
-	return sample[0].Value.Uint64()
-}
--- a/internal/h1/requestbody_test.go
+++ b/internal/h1/requestbody_test.go
@@ -42,7 +42,7 @@
 	for _, chunked := range []bool{false, true} {
 		t.Run(fmt.Sprint("chunked=", chunked), func(t *testing.T) {
 			const size, uploads = 3 << 19, 12
-			memory := NewMemory(5 << 20)
+			memory := NewCollectedMemory(5 << 20)
 			var held, most atomic.Int64
 			address := startBoundedServer(t, func(_ context.Context, r *Request) *Response {
 				if r.Target == "/small" {
@@ -147,6 +147,12 @@
 	collections := 0
 	m := NewMemory(100)
 	m.collect = func() { collections++ }
+	var r releasedBytes
+	r.add(5, 10)
+	r.add(6, 1)
+	assert.Equal(t, r.at(6), int64(11))
+	assert.Equal(t, r.at(7), int64(1))
+	assert.Equal(t, r.at(9), int64(0))
 	p := m.Portion(0)
 	now := time.Now()
 	first := &holder{arrived: now}
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -43,6 +43,11 @@
 	s.bodies = memory
 }
 
+// LargestBody returns the size up to which a body fits into the memory for bodies, zero for any.
+func (s *Server) LargestBody() int64 {
+	return s.bodies.Large.largestBody()
+}
+
 // OnUnread registers a function that is called with the status of each response to a request that
 // could not be read. It must be called before Serve.
 func (s *Server) OnUnread(f func(status int)) {
--- a/internal/meshnode/bodies.go
+++ b/internal/meshnode/bodies.go
@@ -34,7 +34,7 @@
 			scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_unread").Inc(1)
 		})
 	}
-	large := h1.NewMemory(n.memory(bodyFraction))
+	large := h1.NewCollectedMemory(n.memory(bodyFraction))
 	small := func() *h1.Portion { return h1.NewMemory(n.memory(smallBodyFraction)).Portion(0) }
 	n.callers.LimitBodies(h1.BodyMemory{Small: small(), Large: large.Portion(n.memory(callerBodyFraction))})
 	n.peers.LimitBodies(h1.BodyMemory{Small: small(), Large: large.Portion(0)})
@@ -47,7 +47,7 @@
 	if table := n.document.Table(); table != nil {
 		limits = table.Limits
 	}
-	if largest := n.memory(callerBodyFraction); largest > 0 {
+	if largest := n.callers.LargestBody(); largest > 0 {
 		limits.MaxBodyBytes = min(limits.MaxBodyBytes, largest)
 	}
 	return limits
@@ -56,7 +56,7 @@
 // peerLimits returns the limits on requests of peer nodes. Their bodies are bounded by the memory
 // of this node only: a configuration that allows larger ones may be in force at a peer already.
 func (n *Node) peerLimits() h1.Limits {
-	if largest := n.memory(bodyFraction); largest > 0 {
+	if largest := n.peers.LargestBody(); largest > 0 {
 		return mesh.PeerLimits(largest)
 	}
 	return mesh.PeerLimits(maxPeerBodyBytes)
@@ -65,7 +65,7 @@
 // checkBodyLimit warns once for each limit that a configuration allows larger bodies than this node
 // can hold.
 func (n *Node) checkBodyLimit(table *routing.Table) {
-	allowed, largest := table.Limits.MaxBodyBytes, n.memory(callerBodyFraction)
+	allowed, largest := table.Limits.MaxBodyBytes, n.callers.LargestBody()
 	if changed := n.bodyLimit.Swap(allowed) != allowed; changed && largest > 0 && allowed > largest {
 		n.config.Log.Warn().Int64("max_body_bytes", allowed).Int64("largest", largest).Int64("memory_mib", n.config.MemoryMiB).
 			Msg("configuration allows larger bodies than the memory of this node holds; larger ones get status 413")
