internal/ingress: the tests' guard keeps the keys of each service apart

Cause, from a trace of the guard: the upstream copies all headers into its nested call, the key too. Usually the node of the nested service refuses, since its upstream does not accept connections; if it has not noticed that yet it asks for the key, which the guard of the tests grants once for all services. The real one has keys by service (idempotency.Manager refuses another service), so the test was wrong.

--- a/internal/ingress/failure_test.go
+++ b/internal/ingress/failure_test.go
@@ -128,7 +128,7 @@
 // the report that the rejected attempt was not run.
 func TestMoveWaitsForKey(t *testing.T) {
 	f := newFleet(t, func(f *fleet) {
-		f.guard = &delayedGuard{memoryGuard: memoryGuard{keys: make(map[uuid.UUID]resultcode.Execution)}}
+		f.guard = &delayedGuard{memoryGuard: memoryGuard{keys: make(map[serviceKey]resultcode.Execution)}}
 	})
 	var attempts atomic.Int32
 	for range 2 {
--- a/internal/ingress/fleet_test.go
+++ b/internal/ingress/fleet_test.go
@@ -36,26 +36,33 @@
 func (fixedSettings) MatchKind(string, string, string) string { return "" }
 
 // memoryGuard is an idempotency.Guard that keeps the outcome of each key in memory. It
-// grants a key again only after an attempt that was not run.
+// grants a key again only after an attempt that was not run. As with the real one, each service
+// has keys of its own.
 type memoryGuard struct {
 	mu   sync.Mutex
-	keys map[uuid.UUID]resultcode.Execution
+	keys map[serviceKey]resultcode.Execution
 }
 
-func (g *memoryGuard) Acquire(_ context.Context, _ string, key, _ uuid.UUID) error {
+// serviceKey is a key of one service.
+type serviceKey struct {
+	service string
+	key     uuid.UUID
+}
+
+func (g *memoryGuard) Acquire(_ context.Context, service string, key, _ uuid.UUID) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if execution, known := g.keys[key]; known && execution != resultcode.NotRun {
+	if execution, known := g.keys[serviceKey{service, key}]; known && execution != resultcode.NotRun {
 		return resultcode.New(resultcode.KeyCompleted, "key %s", key)
 	}
-	g.keys[key] = resultcode.Unknown
+	g.keys[serviceKey{service, key}] = resultcode.Unknown
 	return nil
 }
 
-func (g *memoryGuard) Complete(_ context.Context, _ string, key, _ uuid.UUID, execution resultcode.Execution, _ int) {
+func (g *memoryGuard) Complete(_ context.Context, service string, key, _ uuid.UUID, execution resultcode.Execution, _ int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.keys[key] = execution
+	g.keys[serviceKey{service, key}] = execution
 }
 
 // node is one node with its upstream, if it has one, both in this process.
@@ -93,7 +100,7 @@
 func newFleet(t testing.TB, change func(*fleet)) *fleet {
 	f := &fleet{
 		t: t, values: settings.Defaults(),
-		guard:    &memoryGuard{keys: make(map[uuid.UUID]resultcode.Execution)},
+		guard:    &memoryGuard{keys: make(map[serviceKey]resultcode.Execution)},
 		services: make(map[string][]balancer.Instance),
 		scope:    tally.NewTestScope("", nil),
 	}
