internal/meshnode: a leave counts in a removed entry too

If its upstream was draining, which counted before, a late announcement made it ready again. Change: only the adoption of a ready upstream asks whether the entry was removed. The durations in the detail of a refusal at a shutdown are rounded to milliseconds. Test: TestUpstreamKeepsDrainingAcrossRestart has the removed entry as well, failed before (ready, want draining).

--- a/internal/mesh/shutdown.go
+++ b/internal/mesh/shutdown.go
@@ -88,7 +88,7 @@
 	}
 	expected := s.expected(kind, fallback)
 	if remaining := end.Sub(now); expected == 0 || expected > remaining {
-		return resultcode.New(resultcode.Draining, "this node ends in %s, and calls of kind %q may take %s", remaining, kind, expected)
+		return resultcode.New(resultcode.Draining, "this node ends in %s, and calls of kind %q may take %s", remaining.Round(time.Millisecond), kind, expected.Round(time.Millisecond))
 	}
 	return nil
 }
--- a/internal/meshnode/adoption.go
+++ b/internal/meshnode/adoption.go
@@ -15,10 +15,10 @@
 // partitioned. So a leave in any of them counts, and a ready upstream only if it confirms that.
 func (n *Node) noteEarlierEntry(earlier directory.Entry) {
 	switch u := earlier.Upstream; {
-	case u == nil || earlier.Removed:
+	case u == nil:
 	case u.State == directory.Draining:
 		n.noteLeft(*u)
-	case u.State == directory.Ready:
+	case u.State == directory.Ready && !earlier.Removed:
 		n.announceMu.Lock()
 		if earlier.Version > n.candidateVersion {
 			n.candidate, n.candidateVersion = &earlier, earlier.Version
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -108,8 +108,8 @@
 	Bounds Bounds
 	// Heartbeat is how often the upstream announces itself.
 	Heartbeat time.Duration
-	// MemoryMiB is the memory limit that the fractions above refer to; with
-	// zero, neither the heap nor the total size of the request bodies is limited.
+	// MemoryMiB is the memory of the process; with zero, neither the heap nor the bodies that it
+	// holds are limited.
 	MemoryMiB int64
 	Log       zerolog.Logger
 }
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -191,16 +191,18 @@
 
 // Guards against a draining upstream that becomes ready again because its node has restarted.
 func TestUpstreamKeepsDrainingAcrossRestart(t *testing.T) {
-	n := newNode(t, nil)
-	earlier := earlierEntry(5)
-	earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, 7
-	n.directory.Merge([]directory.Entry{earlier})
-	a := mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}
-	n.Announce(a, 0)
-	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
-	a.Incarnation = 8
-	n.Announce(a, 0)
-	assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
+	for _, removed := range []bool{false, true} {
+		n := newNode(t, nil)
+		earlier := earlierEntry(5)
+		earlier.Upstream.State, earlier.Upstream.Incarnation, earlier.Removed = directory.Draining, 7, removed
+		n.directory.Merge([]directory.Entry{earlier})
+		a := mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}
+		n.Announce(a, 0)
+		assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining, "removed: %t", removed)
+		a.Incarnation = 8
+		n.Announce(a, 0)
+		assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
+	}
 }
 
 // Guards against a draining upstream that becomes ready again because the store returns an older entry.
