--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,11 +24,24 @@
 
 // network connects gossipers without sockets. Partitioned addresses reach no node.
 type network struct {
-	nodes       map[string]*Gossiper
 	mu          sync.Mutex
+	nodes       map[string]*Gossiper
 	partitioned map[string]bool
 }
 
+func (n *network) add(address string, g *Gossiper) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[address] = g
+}
+
+func (n *network) node(address string) (*Gossiper, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g, ok := n.nodes[address]
+	return g, ok
+}
+
 func (n *network) setPartitioned(address string, partitioned bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -47,7 +61,7 @@
 }
 
 func (e endpoint) Exchange(ctx context.Context, address string, r *h1.Request, _ time.Time) (*h1.Response, error) {
-	target, ok := e.network.nodes[address]
+	target, ok := e.network.node(address)
 	if !ok || e.network.isPartitioned(address, e.address) {
 		return nil, &h1.SendError{Cause: errors.New("unreachable")}
 	}
@@ -77,7 +91,7 @@
 		d.OnChange(g.Disseminate)
 		d.OnLeaveMissing(func(known, newer directory.Entry) { g.ReportLeave(ctx, known, newer) })
 		g.config.Document.OnChange(func(*routing.Table) { g.DisseminateConfig() })
-		net.nodes[address] = g
+		net.add(address, g)
 		fleet = append(fleet, g)
 	}
 	for _, g := range fleet {
@@ -213,7 +227,7 @@
 			OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		addNodes(d, 2, 1000)
-		net.nodes[address] = g
+		net.add(address, g)
 		pair = append(pair, g)
 	}
 	assert.Assert(t, pair[0].exchange(t.Context(), "node-1:1"))
@@ -302,7 +316,7 @@
 		before.UpdateSelf(func(e *directory.Entry) { e.Upstream = &upstream })
 		fleet[0].config.Directory.Merge([]directory.Entry{before.Self()})
 		time.Sleep(3 * time.Second)
-		var told directory.Entry
+		var told atomic.Pointer[directory.Entry]
 		restarted := New(fleet[5].config)
 		restarted.config.Directory = directory.New(directory.Entry{Node: node, Address: node}, time.Now)
 		restarted.config.Sender = endpoint{net, node}
@@ -310,13 +324,13 @@
 		restarted.config.Directory.OnChange(restarted.Disseminate)
 		restarted.config.Directory.OnEarlierEntry(func(e directory.Entry) {
 			if e.Upstream != nil {
-				told = e
+				told.Store(&e)
 			}
 		})
-		net.nodes[node] = restarted
+		net.add(node, restarted)
 		go restarted.Run(ctx)
 		time.Sleep(3 * time.Second)
-		synctest.Wait()
-		assert.Assert(t, told.Upstream != nil && *told.Upstream == upstream, "%+v", told)
+		entry := told.Load()
+		assert.Assert(t, entry != nil && *entry.Upstream == upstream, "%+v", entry)
 	})
 }
