--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -159,7 +159,7 @@
 	for {
 		c.setIdleDeadline(started, limits.IdleTimeout)
 		_, err := c.reader.Peek(1)
-		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && !c.idleSince(started, limits.IdleTimeout) {
+		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && !c.idleFor(started, limits.IdleTimeout) {
 			continue
 		}
 		return err
@@ -178,9 +178,9 @@
 	_ = c.conn.SetReadDeadline(deadline)
 }
 
-// idleSince reports whether no request has been in flight for the timeout, or a response has
+// idleFor reports whether no request has been in flight for the timeout, or a response has
 // closed the connection.
-func (c *serverConn) idleSince(started time.Time, timeout time.Duration) bool {
+func (c *serverConn) idleFor(started time.Time, timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closing || time.Since(c.idleStart(started)) >= timeout
--- a/internal/mesh/health.go
+++ b/internal/mesh/health.go
@@ -10,7 +10,7 @@
 	"github.com/mustardwing/mustardwing/internal/h1"
 )
 
-// maxHealthBytes bounds the body of the response to a health check, which is not read.
+// maxHealthBytes bounds the body of the response to a health check, which says nothing that is used.
 const maxHealthBytes = 4 << 10
 
 // CheckHealth asks the instance of an announcement whether it still accepts calls, until ctx ends.
--- a/internal/mesh/shutdown.go
+++ b/internal/mesh/shutdown.go
@@ -78,9 +78,9 @@
 	ring.add(d)
 }
 
-// check returns an error if a call that starts now must not be accepted because it would not have
-// ended when the node does. Its deadline bounds how long it takes, whatever the estimate. The
-// estimate of a kind without durations is fallback, or with zero the deadline.
+// check returns an error if a call that starts now would probably outlast the node. A call whose
+// deadline is earlier than the end never does. The duration of a kind without calls is taken to be
+// fallback; with zero such a call is refused.
 func (s *shutdown) check(now time.Time, kind string, deadline time.Time, fallback time.Duration) *resultcode.Error {
 	end := s.end.Load()
 	if end == nil || !deadline.After(*end) {
--- a/internal/mesh/shutdown_test.go
+++ b/internal/mesh/shutdown_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against calls that a node accepts although it ends before them, so that they are cut while
-// their upstream runs them: nested calls, calls of peer nodes, and retries.
+// their upstream runs them: nested calls and calls of peer nodes.
 func TestCallWithoutTimeToEndIsRefusedAtShutdown(t *testing.T) {
 	const duration = 100 * time.Millisecond
 	for name, begin := range map[string]func(*cluster, time.Time){
@@ -48,6 +48,25 @@
 	}
 }
 
+// Guards against a retry that a node begins although it ends before it.
+func TestRetryWithoutTimeToEndIsNotMade(t *testing.T) {
+	const duration = 100 * time.Millisecond
+	failing := func(_ context.Context, r *h1.Request) *h1.Response {
+		time.Sleep(duration)
+		return executed(r, http.StatusInternalServerError, "")
+	}
+	first, second := &testUpstream{handler: failing}, &testUpstream{handler: failing}
+	c := newCluster(t, idempotent(), first, second)
+	attempts := func(id string) int64 {
+		before := first.received.Load() + second.received.Load()
+		assert.Equal(t, c.call(t.Context(), id).Status, http.StatusInternalServerError)
+		return first.received.Load() + second.received.Load() - before
+	}
+	assert.Equal(t, attempts("a"), int64(2))
+	c.outbound.EndAt(time.Now().Add(c.outbound.shutdown.expected("kind", 0) + duration/2))
+	assert.Equal(t, attempts("b"), int64(1))
+}
+
 // Guards against an estimate that follows a single slow call, or that ignores the slower ones.
 func TestEstimateCoversMostCalls(t *testing.T) {
 	s := newShutdown()
--- a/internal/meshnode/bodies.go
+++ b/internal/meshnode/bodies.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// callerBodyFraction is the fraction of the memory limit that large bodies of callers' requests
-	// may fill, and bodyFraction the one for those of peer nodes as well. A body that is passed to
-	// the local upstream is held twice, so the larger one is twice the other.
+	// callerBodyFraction is the fraction of the memory that large request bodies may fill at the
+	// listener for callers, bodyFraction the one at both listeners together. It is twice as large,
+	// since a body for the local upstream is held at both.
 	callerBodyFraction = 0.23
 	bodyFraction       = 2 * callerBodyFraction
 	// smallBodyFraction is the fraction that small bodies may fill at each of the two listeners.
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -31,8 +31,9 @@
 )
 
 const (
-	// heapFraction is the fraction of the memory limit that the Go heap may use; the rest is for
-	// kernel buffers and stacks. It leaves room beyond the bodies for their replacement.
+	// heapFraction is the fraction of the memory that the Go heap may use; the rest is for kernel
+	// buffers and stacks. It is larger than what all bodies may fill, so that the garbage collector
+	// does not run without a pause while they do.
 	heapFraction = 0.8
 	// gcPercent is the value of GOGC. It trades memory, of which there is plenty, for
 	// processor time.
@@ -337,12 +338,11 @@
 	return nil
 }
 
-// Shutdown announces that the node leaves, after upstreamGracePeriod if its upstream is
-// ready. It refuses root requests once leaveGracePeriod is over, and from the beginning all calls
-// that will probably not have ended after limit. It returns as soon as no
-// call is in flight after leaveGracePeriod, after limit at the latest. Calls of the local instance
-// that are still in flight shortly before the limit are cancelled and get a response; see
-// mesh.Outbound.Stop.
+// Shutdown announces that the node leaves, after upstreamGracePeriod if its upstream is ready.
+// From the beginning it refuses calls that would probably outlast limit, and after
+// leaveGracePeriod all root requests. From then on it returns as soon as no call is in flight, after
+// limit at the latest. Calls of the local instance that are still in flight shortly before the limit
+// are cancelled and get a response; see mesh.Outbound.Stop.
 func (n *Node) Shutdown(limit time.Duration) {
 	end := time.Now().Add(limit)
 	graceEnd := time.Now().Add(min(leaveGracePeriod, limit))
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -18,10 +18,9 @@
 	n.announceSelf(n.upstream.Announce(time.Now(), a), cold)
 }
 
-// Withdraw marks an instance as draining by its id alone, since it may not have announced
-// itself since this node started. If it was adopted, it gets no more calls after the
-// drain grace period; if not, it is not adopted later. This concerns the given incarnation and
-// earlier ones, or with zero any.
+// Withdraw marks an instance as draining that may not have announced itself since this node
+// started. If it was adopted, it gets no more calls after the drain grace period; if not, it is
+// not adopted later. A later incarnation than the given one is left alone; with zero there is none.
 func (n *Node) Withdraw(id string, incarnation int64) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
