--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -24,9 +24,7 @@
 	boundHeartbeat   = 1500 * time.Millisecond
 	boundDrain       = 2000 * time.Millisecond
 	boundStable      = 3000 * time.Millisecond
-	boundGrace       = 6 * time.Second
 	boundConfigApply = 2000 * time.Millisecond
-	boundLossSlack   = 200 * time.Millisecond
 )
 
 const (
@@ -63,9 +61,8 @@
 	revision     int64
 	requests     atomic.Int64
 
-	mu       sync.Mutex
-	runs     []execution
-	arrivals []execution
+	mu   sync.Mutex
+	runs []execution
 }
 
 // execution is a request that has reached a worker.
