--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,6 +27,7 @@
 	"gossip-from-a-client":       gossipFromAClient,
 	"prefix-without-slash":       prefixWithoutSlash,
 	"slow-reader-while-stopping": slowReaderWhileStopping,
+	"slow-client-while-stopping": slowClientWhileStopping,
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,8 @@
 	exitOnce sync.Once
 	// loseAnswers is how many in 100 requests run without an answer.
 	loseAnswers atomic.Int64
+	// answerBytes is the least size of the body of an answer.
+	answerBytes atomic.Int64
 	// readPause is how long a request waits before its body is read, in nanoseconds.
 	readPause atomic.Int64
 }
@@ -140,6 +143,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	text := answer(id, len(body))
+	text += strings.Repeat(".", max(0, int(w.answerBytes.Load())-len(text)))
 	rw.Header().Set("X-Mustardwing-Server-Stamp", "stamp."+w.id)
 	rw.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(rw, text)
