internal/h1, internal/delivery: a connection is closed when its caller has taken the response

Cause: a write that had returned was taken for a response that had been delivered. 500 ms after it the node closed the connection, whatever the kernel still held; the caller's next input then made the kernel drop it. Ruled out by the record of the case: an unfinished write and the end of the process (the reset came 1.2 s after SIGTERM, the process ended after 2.3 s), and TCP_USER_TIMEOUT, which connections of callers do not have. The same cause ended connections that were closed as idle or after a 400 or 413, cut what the kernel held when the process ended, gave a response up after 20 s of steady reading, and held for mustardwingd, whose net/http server waits for 500 ms too.

Change: internal/delivery follows the acknowledgements (TCP_INFO). A connection that is closed for writing is read until its caller closes it, stalls for 20 s, or has acknowledged everything and is silent for 5 s. A stop waits for callers and peers that are still taking a response, not beyond their deadline and the limit of the stop. The listeners of mustardwingd linger likewise.

--- a/internal/h1/message.go
+++ b/internal/h1/message.go
@@ -44,6 +44,9 @@
 	Body   []byte
 	// Close asks the server to close the connection after this response.
 	Close bool
+	// Expires is when the caller no longer waits for the response, zero if that is not known. A
+	// server that stops does not wait longer until the caller has taken the response.
+	Expires time.Time
 }
 
 // Handler responds to requests. The context is cancelled when the connection is
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -110,6 +111,19 @@
 	return s.inFlight.Load()
 }
 
+// Delivering reports whether a caller may still be taking a response that was written.
+func (s *Server) Delivering() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		if c.responses.Pending(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes all connections, which cancels the requests in flight, and any accepted
 // later. It does not close listeners.
 func (s *Server) Close() {
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/delivery"
 )
 
 const (
@@ -22,10 +24,7 @@
 	maxPipelined = 100
 	// writeTimeout closes a connection whose caller reads nothing for this long,
 	// since the response is held in memory until then.
-	writeTimeout = 20 * time.Second
-	// lingerTimeout is how long a closing connection is still read, so that unread
-	// bytes do not reset it before the caller has the response.
-	lingerTimeout = 500 * time.Millisecond
+	writeTimeout = delivery.StallTimeout
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 20 * time.Millisecond
 	readBufferBytes  = 4 << 10
@@ -55,13 +54,15 @@
 	// messages bounds what is read, reader buffers it.
 	messages *messageReader
 	reader   *bufio.Reader
+	// responses follows what the caller has taken of the responses.
+	responses *delivery.Tracker
 
 	mu sync.Mutex
 	// queue holds the requests whose response was not yet written, oldest first.
 	queue        []*exchange
 	queueNotFull *sync.Cond
-	// closing is set once no further response is written: the last one was, or a write
-	// failed.
+	// closing is set once no further response is written: the last one was, a write failed, or the
+	// connection was idle for too long.
 	closing bool
 	// lastResponse is when the latest response was written.
 	lastResponse time.Time
@@ -85,6 +86,7 @@
 	conn := &serverConn{
 		server: s, conn: c, remoteIP: host, ctx: ctx, cancel: cancel,
 		messages: messages, reader: bufio.NewReaderSize(messages, readBufferBytes),
+		responses: delivery.NewTracker(c),
 	}
 	conn.queueNotFull = sync.NewCond(&conn.mu)
 	return conn
@@ -102,7 +104,13 @@
 	defer c.abort()
 	for {
 		limits := c.server.limits()
-		if err := c.awaitFirstByte(limits); err != nil {
+		err := c.awaitFirstByte(limits)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if err != nil || c.isClosing() {
+			c.closeIdle()
+			c.linger()
 			return
 		}
 		c.server.inFlight.Add(1)
@@ -120,6 +128,24 @@
 	}
 }
 
+// isClosing reports whether no further response is written.
+func (c *serverConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// closeIdle closes a connection without a request in flight for writing, unless a response has
+// already done so.
+func (c *serverConn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
+		c.closing = true
+		delivery.CloseWrite(c.conn)
+	}
+}
+
 // read returns the request whose first byte has arrived and whether it is the last one, that
 // is, whether its caller asked for the connection to be closed. With an error it returns the
 // request without its body, nil if the header could not be read.
@@ -195,13 +221,13 @@
 }
 
 // setIdleDeadline sets the read deadline for the next request. On a connection that a
-// response has closed the deadline is lingerTimeout away.
+// response has closed the deadline has passed.
 func (c *serverConn) setIdleDeadline(started time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	deadline := c.idleStart(started).Add(timeout)
 	if c.closing {
-		deadline = time.Now().Add(lingerTimeout)
+		deadline = time.Now()
 	}
 	_ = c.conn.SetReadDeadline(deadline)
 }
@@ -302,9 +328,9 @@
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	*buffer = appendResponse((*buffer)[:0], e.method, e.response, closing)
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.conn.Write(*buffer)
+	err := c.writeAll(*buffer)
 	c.lastResponse = time.Now()
+	c.responses.Wrote(c.lastResponse, e.response.Expires, closing)
 	if cap(*buffer) > maxPooledBufferBytes {
 		*buffer = make([]byte, 0, readBufferBytes)
 	}
@@ -315,17 +341,22 @@
 	}
 	if closing {
 		c.closing = true
-		c.closeWrite()
+		delivery.CloseWrite(c.conn)
+		// The goroutine that reads the connection begins to linger.
+		_ = c.conn.SetReadDeadline(c.lastResponse)
 	}
 }
 
-// closeWrite closes the connection for writing; it may still be read for
-// lingerTimeout.
-func (c *serverConn) closeWrite() {
-	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
+// writeAll writes a response. It fails when the caller takes nothing of it for writeTimeout.
+func (c *serverConn) writeAll(b []byte) error {
+	for {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := c.conn.Write(b)
+		if err == nil || n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		b = b[n:]
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
 // handleReadError responds to a request that could not be read, in its turn after the earlier ones
@@ -402,17 +433,19 @@
 	return errors.As(err, &op)
 }
 
-// linger discards input until the caller closes the connection, for at most
-// lingerTimeout after the last response. Thereby a disconnect is detected while the last
-// request runs, and unread bytes do not reset the connection before the caller has the
-// response.
+// linger discards input until the caller closes the connection, or no longer takes the last response
+// or needs no more time for it. Thereby a disconnect is detected while the last request runs, and
+// input does not reset the connection before the caller has the response.
 func (c *serverConn) linger() {
+	c.messages.startBody()
 	_ = c.conn.SetReadDeadline(time.Time{})
-	c.mu.Lock()
-	if c.closing {
-		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if !c.isClosing() {
+		// The last response is still to be written. It ends the read by the deadline.
+		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
+	if !c.responses.Linger(c.reader) {
+		c.server.log.Info().Str("from", c.remoteIP).Dur("after", delivery.StallTimeout).Msg("caller does not read; response cut off")
 	}
-	c.mu.Unlock()
-	c.messages.startBody()
-	_, _ = io.Copy(io.Discard, c.reader)
 }
--- a/internal/mesh/outbound.go
+++ b/internal/mesh/outbound.go
@@ -155,6 +155,9 @@
 	if o.reached > 0 {
 		c.shutdown.observe(route.Name, duration)
 	}
+	if info.Timeout > 0 {
+		response.Expires = r.Arrived.Add(info.Timeout)
+	}
 	return response
 }
 
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -321,7 +321,9 @@
 	} else {
 		slot.Release(v.Execution)
 	}
-	return u.report(c, response, v)
+	reported := u.report(c, response, v)
+	reported.Expires = deadline
+	return reported
 }
 
 // Refuse implements h1.Refuser for a call of a peer node whose body does not fit into the memory for
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -378,8 +378,8 @@
 
 // Shutdown announces that the node leaves, after upstreamGracePeriod if its upstream is ready.
 // From the beginning it refuses calls that would probably outlast limit, and after
-// leaveGracePeriod all root requests. From then on it returns as soon as no call is in flight, after
-// limit at the latest. Calls of the local instance that are still in flight shortly before the limit
+// leaveGracePeriod all root requests. From then on it returns as soon as no call is in flight and the
+// callers have taken the responses, after limit at the latest. Calls of the local instance that are still in flight shortly before the limit
 // are cancelled and get a response; see mesh.Outbound.Stop.
 func (n *Node) Shutdown(limit time.Duration) {
 	end := time.Now().Add(limit)
@@ -402,7 +402,7 @@
 		if time.Until(end) < finalResponseTime {
 			n.outbound.Stop()
 		}
-		if graceOver && n.inFlight() == 0 {
+		if graceOver && n.inFlight() == 0 && !n.delivering() {
 			break
 		}
 		time.Sleep(shutdownPollInterval)
@@ -412,9 +412,18 @@
 	}
 	// A connection may have been accepted just before, and its request is still to be read.
 	time.Sleep(min(shutdownPollInterval, max(0, time.Until(end))))
-	for time.Now().Before(end) && n.inFlight() > 0 {
+	for time.Now().Before(end) && (n.inFlight() > 0 || n.delivering()) {
 		time.Sleep(shutdownPollInterval)
 	}
+	if n.delivering() {
+		n.config.Log.Info().Msg("ending before all callers have taken their responses")
+	}
+}
+
+// delivering reports whether a caller or a peer node may still be taking a response. The end of the
+// process cuts off a response if the other end sends more before it has taken the whole.
+func (n *Node) delivering() bool {
+	return n.callers.Delivering() || n.peers.Delivering()
 }
 
 // inFlight returns the number of requests of callers and peer nodes that have no response yet.
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"context"
 	"net"
 
 	"github.com/pkg/errors"
 
+	"github.com/mustardwing/mustardwing/internal/delivery"
 	"github.com/mustardwing/mustardwing/internal/membership"
 	"github.com/mustardwing/mustardwing/internal/nodeconfig"
 )
@@ -21,7 +23,7 @@
 
 // listeners holds the listening sockets of a node. A socket is nil until it is open.
 type listeners struct {
-	caller, loopback, peer, admin net.Listener
+	caller, loopback, peer, admin *delivery.Listener
 	gossip                        *membership.UDP
 }
 
@@ -29,7 +31,7 @@
 	l := &listeners{}
 	for _, tcp := range []struct {
 		name, address string
-		listener      *net.Listener
+		listener      **delivery.Listener
 	}{
 		{"caller", c.Caller, &l.caller},
 		{"loopback", c.Loopback, &l.loopback},
@@ -41,7 +43,7 @@
 			l.close()
 			return nil, errors.Wrapf(err, "listen.%s %q", tcp.name, tcp.address)
 		}
-		*tcp.listener = opened
+		*tcp.listener = delivery.NewListener(opened)
 	}
 	gossip, err := membership.ListenUDP(c.Gossip)
 	if err != nil {
@@ -62,8 +64,16 @@
 	}
 }
 
+// waitDelivered returns once all callers and peers have taken the responses that were written to
+// them, or ctx has ended.
+func (l *listeners) waitDelivered(ctx context.Context) {
+	for _, listener := range []*delivery.Listener{l.caller, l.loopback, l.peer} {
+		listener.Wait(ctx)
+	}
+}
+
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.caller, l.loopback, l.peer, l.admin} {
+	for _, listener := range []*delivery.Listener{l.caller, l.loopback, l.peer, l.admin} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -271,9 +271,9 @@
 
 // Shutdown drains the node and leaves the fleet: after drain.GracePeriod new calls are
 // refused and in-flight calls finish; then the node hands over its ownership of
-// idempotency keys and leaves the membership. If ctx ends while the node drains, Shutdown
-// stops waiting for calls, closes the connections that are still open after closeTimeout
-// and returns an error.
+// idempotency keys, leaves the membership and waits until the callers have taken their
+// responses. If ctx ends while the node drains, Shutdown stops waiting for calls, closes the
+// connections that are still open after closeTimeout and returns an error.
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.log.Info().Msg("shutdown started")
 	n.members.UpdateLocal(func(m *membership.Metadata) { m.Draining = true })
@@ -287,6 +287,7 @@
 	}
 	_ = n.members.Leave(ctx)
 	n.close()
+	n.listeners.waitDelivered(ctx)
 	n.log.Info().Err(drained).Msg("shutdown finished")
 	return errors.Wrap(drained, "calls were still in flight")
 }
