internal/routing: a prefix matches only a path that it begins

Cause: Table.Match also took a prefix that is the path with a slash added, so the call got the idempotent route /balance/ and with it a retry. The same decides the service, the timeout and whether a credential is needed. Ruled out: a retry of a call that is known to be non-idempotent (TestNonIdempotentCallIsNotRetriedAfterUnknownOutcome holds) and two configurations in force (the case has one).

Change: the prefix must begin the path as received. The check and the comparison of configurations ask Match whether a route can match, in place of a comparison of their own, and now also report a host with a port and a prefix with a query.

--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -55,14 +55,14 @@
 }
 
 func (c *checker) checkRoutes() {
-	first := make(map[string]*routing.Route)
 	for _, r := range c.table.Routes() {
 		where := routeLabel(r)
-		key := strings.ToLower(r.Host) + r.Prefix
-		if earlier := first[key]; earlier != nil {
-			c.add(Warning, where, "never matches: route %q has the same host and prefix and comes first", earlier.Name)
-		} else {
-			first[key] = r
+		switch match := c.table.Match(r.Host, r.Prefix); {
+		case match == r:
+		case match != nil && match.Prefix == r.Prefix:
+			c.add(Warning, where, "never matches: route %q has the same host and prefix and comes first", match.Name)
+		default:
+			c.add(Warning, where, "never matches: want a host without a port and a prefix without a query")
 		}
 		if !strings.HasSuffix(r.Prefix, "/") {
 			c.add(Warning, where, "the prefix does not end with a slash, so it also matches longer names")
--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -62,9 +62,8 @@
 func effectiveRoutes(t *routing.Table) map[string]*routing.Route {
 	routes := make(map[string]*routing.Route)
 	for _, r := range t.Routes() {
-		key := strings.ToLower(r.Host) + r.Prefix
-		if routes[key] == nil {
-			routes[key] = r
+		if t.Match(r.Host, r.Prefix) == r {
+			routes[strings.ToLower(r.Host)+r.Prefix] = r
 		}
 	}
 	return routes
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -26,6 +26,9 @@
 	table := routing.New(version, h1.Limits{HeaderTimeout: time.Second, IdleTimeout: time.Minute}, routes)
 	table.DeclaredServices = []string{"s", "u"}
 	change(routes, accounts, table)
+	changed := routing.New(version, table.Limits, routes)
+	changed.DeclaredServices, changed.BaseVersion, changed.HealthPaths = table.DeclaredServices, table.BaseVersion, table.HealthPaths
+	table = changed
 	var err error
 	table.Organisations, err = organisation.NewSet(accounts)
 	assert.NilError(t, err)
@@ -46,6 +49,8 @@
 		{"", unchanged},
 		{`warning: route "b" (h/a/): never matches`, func(r routes, _ accounts, _ *routing.Table) { r[1].Prefix = "/a/" }},
 		{`warning: route "b" (H/a/): never matches`, func(r routes, _ accounts, _ *routing.Table) { r[1].Host, r[1].Prefix = "H", "/a/" }},
+		{`warning: route "b" (h:80/b/): never matches: want`, func(r routes, _ accounts, _ *routing.Table) { r[1].Host = "h:80" }},
+		{`warning: route "b" (h/b?x/): never matches: want`, func(r routes, _ accounts, _ *routing.Table) { r[1].Prefix = "/b?x/" }},
 		{`warning: route "a" (h/a): the prefix`, func(r routes, _ accounts, _ *routing.Table) { r[0].Prefix = "/a" }},
 		{`warning: route "a" (h/a/): the latency objective 2s exceeds the timeout 1s`, func(r routes, _ accounts, _ *routing.Table) { r[0].Objective = 2 * time.Second }},
 		{`error: route "a" (h/a/): service "x" is not declared`, func(r routes, _ accounts, _ *routing.Table) {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -79,6 +79,20 @@
 	assert.Equal(t, receivedCalls(first, second), int64(1))
 }
 
+// Guards against a non-idempotent call that runs twice because its path, with a slash added, is the
+// prefix of an idempotent route.
+func TestRouteOfAPathWithoutTheLastSlash(t *testing.T) {
+	first, second := &testUpstream{handler: breaking}, &testUpstream{handler: breaking}
+	c := newCluster(t, idempotent(), first, second)
+	catchAll := nonIdempotent()
+	catchAll.Host, catchAll.Prefix, catchAll.Targets = "h", "/", []routing.Target{{Service: "s", Weight: 1}}
+	c.table = routing.New(2, routing.DefaultLimits(), append(c.table.Routes(), &catchAll))
+	r := newRequest("a")
+	r.Target = "/r"
+	assert.Equal(t, c.outbound.Serve(t.Context(), r).Status, http.StatusBadGateway)
+	assert.Equal(t, receivedCalls(first, second), int64(1))
+}
+
 // Guards against an idempotent call that fails because of one broken upstream.
 func TestIdempotentCallIsRetriedAfterBrokenResponse(t *testing.T) {
 	first, second := &testUpstream{handler: breaking}, &testUpstream{handler: good}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -52,16 +52,17 @@
 	return t
 }
 
-// Match returns the host's route with the longest prefix of the path in the request
-// target, or nil when no route matches. The path /a also matches the prefix /a/. Match
-// ignores the port of the host and the query of the target.
+// Match returns the host's route with the longest prefix that begins the path in the request
+// target, or nil when no route matches. The path is compared as it was received, since the upstream
+// gets it unchanged: /a does not match the prefix /a/. Match ignores the port of the host and the
+// query of the target.
 func (t *Table) Match(host, target string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
 	path, _, _ := strings.Cut(target, "?")
 	for _, r := range t.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) || path+"/" == r.Prefix {
+		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
 	}
