internal/meshnode, platform: a heartbeat from before the start needs a confirmation

The store was unavailable at the leave, all nodes were killed, and a heartbeat that the upstream had sent before arrived 2.5 s late.

Cause: a started node asked the upstream before it believed an entry of the store or of a peer, but believed the first heartbeat whatever its age. Only the upstream still knew of the leave. Ruled out: the adoption (it logs that it does not adopt) and entries of other writers (they never replace a node's own).

Change: an announcement that arrives within four heartbeat intervals of the start counts once its sender confirms it by its health check, unless it is the second one on a connection or from the upstream that is in use already. No live upstream stays out: one whose health check fails is in use with its second heartbeat.

Tests that announced an upstream to a node just started now say that the announcement is recent, which is what they mean: "its next announcement decides". Announcements that are not have tests of their own.

--- a/internal/meshnode/adoption.go
+++ b/internal/meshnode/adoption.go
@@ -36,6 +36,9 @@
 	if u.Incarnation >= n.drainedBefore.Incarnation {
 		n.drainedBefore = u
 	}
+	if p := n.pending; p != nil && n.leftBefore(p.announcement.ID, p.announcement.Incarnation) {
+		n.pending = nil
+	}
 	if a, announced := n.upstream.Current(); announced && !a.Draining && n.leftBefore(a.ID, a.Incarnation) {
 		n.config.Log.Info().Str("instance", u.ID).Msg("upstream left before the restart of this node; draining it")
 		n.upstream.Withdraw(time.Now(), u.ID)
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -142,12 +142,14 @@
 	appliedGeneration atomic.Uint64
 	// leaving is set once Shutdown has begun.
 	leaving atomic.Bool
-	// announceMu keeps announcements of the upstream and the adoption of an earlier one
-	// in order.
+	// announceMu keeps announcements of the upstream, their confirmation and the adoption of an
+	// earlier one in order.
 	announceMu sync.Mutex
 	// withdrawn is the id of the instance that Withdraw was last called for, empty before
 	// the first call.
 	withdrawn string
+	// pending is the latest announcement that its sender has still to confirm, nil if there is none.
+	pending *pendingAnnouncement
 	// drainedBefore is the latest upstream that an entry of an earlier process of this node
 	// shows as draining, the zero value when there is none.
 	drainedBefore directory.Upstream
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -146,7 +146,7 @@
 			if health != nil {
 				assert.Equal(t, health.checks.Load(), int32(1))
 			}
-			n.Announce(mesh.Announcement{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0)
+			n.Announce(mesh.Announcement{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0, true)
 			assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
 		})
 	}
@@ -165,11 +165,92 @@
 	assert.Assert(t, !adopted)
 }
 
+// announceEarly makes the announcement of instance i-1 with incarnation 7, which may have been sent
+// before the start of the node.
+func announceEarly(n *Node) {
+	n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: n.config.UpstreamAddress, Slots: 4}, 0, false)
+}
+
+// Guards against a late announcement that makes an upstream ready again which has left before the
+// restart of its node, when nobody else knows of the leave.
+func TestLateAnnouncementNeedsConfirmation(t *testing.T) {
+	for name, health := range map[string]*upstreamHealth{
+		"leaves":           {status: http.StatusServiceUnavailable, instance: "i-1"},
+		"another instance": {status: http.StatusOK, instance: "i-2"},
+		"no upstream":      nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, health)
+			announceEarly(n)
+			time.Sleep(100 * time.Millisecond)
+			announceEarly(n)
+			time.Sleep(300 * time.Millisecond)
+			_, announced := n.upstream.Current()
+			assert.Assert(t, !announced)
+			assert.Assert(t, n.directory.Self().Upstream == nil)
+		})
+	}
+}
+
+// Guards against an upstream that is kept out although it accepts calls: it confirms at once, or its
+// health check fails and it announces itself again, or no configuration says how to check it.
+func TestUpstreamThatAcceptsCallsIsNotKeptOut(t *testing.T) {
+	nothing := func(*Node) {}
+	for name, c := range map[string]struct {
+		status        int
+		before, after func(n *Node)
+	}{
+		"confirms": {http.StatusOK, nothing, nothing},
+		"known to have announced itself since the start": {http.StatusServiceUnavailable, nothing, func(n *Node) {
+			n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0, true)
+		}},
+		"no announcement can be late any more": {http.StatusServiceUnavailable, func(n *Node) { n.started = n.started.Add(-n.announcementDelay()) }, nothing},
+		"no health check":                      {http.StatusServiceUnavailable, func(n *Node) { n.document.Table().HealthPaths["s"] = "" }, nothing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, &upstreamHealth{status: c.status, instance: "i-1"})
+			c.before(n)
+			announceEarly(n)
+			c.after(n)
+			assert.Assert(t, !adopted(t, n).Draining)
+			n.announceMu.Lock()
+			defer n.announceMu.Unlock()
+			assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
+		})
+	}
+}
+
+// Guards against a pending announcement that is applied although its sender has left meanwhile.
+func TestLeaveDuringTheConfirmation(t *testing.T) {
+	for name, leave := range map[string]func(n *Node){
+		"deregisters": func(n *Node) { n.Withdraw("i-1", 7) },
+		"a peer knows of the leave": func(n *Node) {
+			earlier := earlierEntry(5)
+			earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, 7
+			n.directory.Merge([]directory.Entry{earlier})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			health := &upstreamHealth{status: http.StatusOK, instance: "i-1", checked: make(chan struct{}), respond: make(chan struct{})}
+			n := newNode(t, health)
+			announceEarly(n)
+			<-health.checked
+			leave(n)
+			close(health.respond)
+			time.Sleep(100 * time.Millisecond)
+			_, announced := n.upstream.Current()
+			assert.Assert(t, !announced)
+		})
+	}
+}
+
 // Guards against a late announcement that makes an upstream ready again which has left before the
 // restart of its node, when the node learns of the leave after it.
 func TestLeaveLearnedAfterALateAnnouncement(t *testing.T) {
 	n := newNode(t, nil)
-	n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0)
+	n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0, true)
 	earlier := earlierEntry(5)
 	earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, 7
 	n.directory.Merge([]directory.Entry{earlier})
@@ -182,7 +263,7 @@
 // upstream.
 func TestAdoptionDoesNotReplaceAnnouncement(t *testing.T) {
 	n := newNode(t, nil)
-	n.Announce(mesh.Announcement{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Slots: 4, Draining: true}, 0)
+	n.Announce(mesh.Announcement{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Slots: 4, Draining: true}, 0, true)
 	n.directory.Merge([]directory.Entry{earlierEntry(uint64(time.Now().Add(time.Hour).UnixMilli()))})
 	a, _ := n.upstream.Current()
 	assert.Assert(t, a.Draining)
@@ -197,10 +278,10 @@
 		earlier.Upstream.State, earlier.Upstream.Incarnation, earlier.Removed = directory.Draining, 7, removed
 		n.directory.Merge([]directory.Entry{earlier})
 		a := mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}
-		n.Announce(a, 0)
+		n.Announce(a, 0, true)
 		assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining, "removed: %t", removed)
 		a.Incarnation = 8
-		n.Announce(a, 0)
+		n.Announce(a, 0, true)
 		assert.Equal(t, n.directory.Self().Upstream.State, directory.Ready)
 	}
 }
@@ -213,6 +294,6 @@
 		earlier.Upstream.State, earlier.Upstream.Incarnation = directory.Draining, incarnation
 		n.directory.Merge([]directory.Entry{earlier})
 	}
-	n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0)
+	n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0, true)
 	assert.Equal(t, n.directory.Self().Upstream.State, directory.Draining)
 }
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -8,14 +8,20 @@
 	"github.com/mustardwing/mustardwing/internal/mesh"
 )
 
-// Announce applies an announcement of the upstream to this node and its entry before it
-// returns. cold is the remaining time of the instance's slow start; it counts only in the
-// first announcement of an instance that was not adopted.
-func (n *Node) Announce(a mesh.Announcement, cold time.Duration) {
+// Announce applies an announcement of the upstream to this node and its entry before it returns,
+// or once the upstream confirms it if it may have been sent before the upstream left. cold is the
+// remaining time of the instance's slow start; it counts only in the first announcement of an
+// instance that was not adopted. recent is set if the announcement is known to have been sent after
+// the start of this process.
+func (n *Node) Announce(a mesh.Announcement, cold time.Duration, recent bool) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
 	a.Draining = a.Draining || n.leftBefore(a.ID, a.Incarnation)
-	n.announceSelf(n.upstream.Announce(time.Now(), a), cold)
+	if n.needsConfirmation(a, recent) {
+		n.awaitConfirmation(a, cold)
+		return
+	}
+	n.applyAnnouncement(a, cold)
 }
 
 // Withdraw marks an instance as draining that may not have announced itself since this node
@@ -28,6 +34,7 @@
 		return
 	}
 	n.withdrawn = id
+	n.dropPending(id)
 	n.upstream.Withdraw(time.Now(), id)
 	n.markDraining(id)
 }
@@ -86,7 +93,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			n.upstream.ExpireAnnouncement(now, maxMissedHeartbeats*n.config.Heartbeat)
+			n.upstream.ExpireAnnouncement(now, n.announcementDelay())
 			n.upstream.ReportCapacity()
 		}
 	}
