internal/h1, internal/mesh, internal/meshnode: a preface says what a connection between nodes carries

Cause: the listener for peers told the nodes' messages from calls by the target, and the target of a call is the caller's.

Change: the node that opens a connection says in eight bytes before the first request whether calls or messages follow.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -40,6 +40,8 @@
 	request http.Request
 	// failed holds the calls that got a response with an error status on this connection.
 	failed failedCalls
+	// preface is what is to be sent before the next request, empty once it was.
+	preface Preface
 	// mustClose is set when the connection must not be reused.
 	mustClose bool
 	// idleSince is when the latest exchange ended, idleLimit how long the connection may
@@ -50,7 +52,7 @@
 
 func newClientConn(p *Pool, c net.Conn) *clientConn {
 	messages := &messageReader{conn: c, account: &p.bodyBytes}
-	return &clientConn{pool: p, conn: c, messages: messages, reader: bufio.NewReaderSize(messages, readBufferBytes), idleLimit: p.config.IdleTimeout}
+	return &clientConn{pool: p, conn: c, messages: messages, reader: bufio.NewReaderSize(messages, readBufferBytes), preface: p.config.Preface, idleLimit: p.config.IdleTimeout}
 }
 
 // usable reports whether an idle connection may carry another request. A
@@ -102,7 +104,8 @@
 func (c *clientConn) send(r *Request) (<-chan error, error) {
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
-	*buffer = appendRequestHead((*buffer)[:0], r)
+	*buffer = appendRequestHead(append((*buffer)[:0], c.preface...), r)
+	c.preface = ""
 	if len(r.Body) > maxPooledBufferBytes/4 || len(r.Rest) > 0 {
 		if _, err := c.conn.Write(*buffer); err != nil {
 			return nil, err
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -30,6 +30,8 @@
 	// MaxBufferedBytes bounds the total size of the response bodies that are being read,
 	// without the first unreservedBodyBytes of each. With zero it is not bounded.
 	MaxBufferedBytes int64
+	// Preface, unless empty, is sent at the beginning of every new connection.
+	Preface Preface
 	// DetectDeadPeer applies EnableDeadPeerDetection to every new connection.
 	DetectDeadPeer bool
 	// ResponseMatches reports whether a response belongs to a request; nil accepts
--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -20,6 +20,10 @@
 	// bodies accounts for the bodies of requests, from the first byte read until the handler has
 	// returned.
 	bodies BodyMemory
+	// prefaced holds the handlers of the connections by their preface, nil if connections need none.
+	prefaced map[Preface]Handler
+	// onRefused is called with the IP address of each connection without a known preface.
+	onRefused func(remoteIP string)
 	// onUnread is called with the status of each response to a request that could not be read.
 	onUnread func(status int)
 
@@ -38,7 +42,7 @@
 
 // NewServer returns a server. It calls limits for each request.
 func NewServer(handler Handler, limits func() Limits, log zerolog.Logger) *Server {
-	return &Server{handler: handler, limits: limits, log: log, bodies: unboundedBodies(), onUnread: func(int) {}, conns: make(map[*serverConn]struct{})}
+	return &Server{handler: handler, limits: limits, log: log, bodies: unboundedBodies(), onUnread: func(int) {}, onRefused: func(string) {}, conns: make(map[*serverConn]struct{})}
 }
 
 // LimitBodies bounds the memory for the bodies of requests. It must be called before Serve.
--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -48,6 +48,8 @@
 	server   *Server
 	conn     net.Conn
 	remoteIP string
+	// handler is that of the server, or the one that the preface of the connection names.
+	handler Handler
 	// ctx is the context of all requests of the connection; abort cancels it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -84,7 +86,7 @@
 	}
 	messages := &messageReader{conn: c}
 	conn := &serverConn{
-		server: s, conn: c, remoteIP: host, ctx: ctx, cancel: cancel,
+		server: s, conn: c, remoteIP: host, handler: s.handler, ctx: ctx, cancel: cancel,
 		messages: messages, reader: bufio.NewReaderSize(messages, readBufferBytes),
 		responses: delivery.NewTracker(c),
 	}
@@ -102,6 +104,12 @@
 func (c *serverConn) run() {
 	defer c.server.remove(c)
 	defer c.abort()
+	if err := c.selectHandler(); err != nil {
+		if errors.Is(err, errPreface) {
+			c.server.onRefused(c.remoteIP)
+		}
+		return
+	}
 	for {
 		limits := c.server.limits()
 		err := c.awaitFirstByte(limits)
@@ -315,7 +323,7 @@
 			response = &Response{Status: http.StatusBadGateway, Header: http.Header{}, Close: true}
 		}
 	}()
-	return c.server.handler.Serve(c.ctx, r)
+	return c.handler.Serve(c.ctx, r)
 }
 
 // write sends the oldest response. It is called with mu held.
@@ -384,7 +392,7 @@
 // responseTo returns the response to a request that could not be read, or nil if there is none.
 func (c *serverConn) responseTo(r *Request, err error) *Response {
 	if errors.Is(err, errBufferLimit) {
-		if refuser, ok := c.server.handler.(Refuser); ok {
+		if refuser, ok := c.handler.(Refuser); ok {
 			return refuser.Refuse(r)
 		}
 	}
--- a/internal/mesh/harness_test.go
+++ b/internal/mesh/harness_test.go
@@ -100,11 +100,22 @@
 	table     *routing.Table
 }
 
+// serve serves calls as an upstream does.
 func serve(t *testing.T, handler h1.Handler) string {
+	return serveOn(t, h1.NewServer(handler, func() h1.Limits { return PeerLimits(1 << 20) }, zerolog.Nop()))
+}
+
+// servePeer serves calls of peer nodes.
+func servePeer(t *testing.T, handler h1.Handler) string {
+	s := h1.NewServer(handler, func() h1.Limits { return PeerLimits(1 << 20) }, zerolog.Nop())
+	s.RequirePrefaces(map[h1.Preface]h1.Handler{CallsPreface: handler})
+	return serveOn(t, s)
+}
+
+func serveOn(t *testing.T, s *h1.Server) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := h1.NewServer(handler, func() h1.Limits { return PeerLimits(1 << 20) }, zerolog.Nop())
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() {
 		_ = l.Close()
@@ -136,7 +147,7 @@
 		})
 		u.Announce(time.Now(), Announcement{ID: up.id, Service: "s", Address: address, Slots: 4})
 		c.upstreams[up.id] = u
-		peer := serve(t, u)
+		peer := servePeer(t, u)
 		c.directory.Merge([]directory.Entry{{
 			Node: up.id, Version: 1, Address: peer, Region: "region", FailureDomain: "domain",
 			Upstream: &directory.Upstream{ID: up.id, Service: "s", Slots: 4, State: directory.Ready},
@@ -145,7 +156,7 @@
 	c.instances.Update(time.Now())
 	c.outbound = NewOutbound(OutboundConfig{
 		Service: "caller", InFlight: inFlight, Protocol: testProtocol{}, Routes: func() *routing.Table { return c.table },
-		Instances: c.instances, Peers: NewPeerPools(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+		Instances: c.instances, Peers: NewPeerPools(CallsPreface), Log: zerolog.Nop(), Scope: tally.NoopScope,
 		Budget: budget.New(budget.Bounds{Ratio: 1, Slack: 100, Window: time.Second}, rand.New(rand.NewPCG(1, 2))),
 	})
 	return c
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -466,7 +466,7 @@
 		a.Incarnation, a.Draining = started, false
 		restarted := NewUpstream(c.upstreams["i-0"].config)
 		restarted.Announce(time.Now(), a)
-		entry.Address = serve(t, restarted)
+		entry.Address = servePeer(t, restarted)
 		c.directory.Merge([]directory.Entry{entry})
 		c.instances.Update(time.Now())
 		return c.call(t.Context(), "b")
--- a/internal/mesh/peer_pools.go
+++ b/internal/mesh/peer_pools.go
@@ -32,14 +32,16 @@
 // PeerPools holds a connection pool for each peer node. It is safe for
 // concurrent use.
 type PeerPools struct {
+	preface h1.Preface
+
 	mu sync.Mutex
 	// pools holds the pools by the address of the peer node.
 	pools map[string]*h1.Pool
 }
 
-// NewPeerPools returns PeerPools without connections.
-func NewPeerPools() *PeerPools {
-	return &PeerPools{pools: make(map[string]*h1.Pool)}
+// NewPeerPools returns PeerPools without connections. Each connection will begin with the preface.
+func NewPeerPools(preface h1.Preface) *PeerPools {
+	return &PeerPools{preface: preface, pools: make(map[string]*h1.Pool)}
 }
 
 // Exchange sends a request to the node at an address and returns its response. Errors
@@ -55,7 +57,7 @@
 	if !ok {
 		p = h1.NewPool(h1.PoolConfig{
 			Address: address, DialTimeout: peerDialTimeout, IdleTimeout: poolIdleTimeout,
-			MaxIdle: maxIdlePerPeer, MaxResponseBytes: maxResponseBytes, DetectDeadPeer: true,
+			MaxIdle: maxIdlePerPeer, MaxResponseBytes: maxResponseBytes, Preface: l.preface, DetectDeadPeer: true,
 		})
 		l.pools[address] = p
 	}
--- a/internal/meshnode/bodies.go
+++ b/internal/meshnode/bodies.go
@@ -28,7 +28,9 @@
 // buildServers creates the servers for callers and peer nodes, which share the memory for bodies.
 func (n *Node) buildServers(scope tally.Scope) {
 	n.callers = h1.NewServer(n.outbound, n.limits, n.config.Log)
-	n.peers = h1.NewServer(peerHandler{n}, n.peerLimits, n.config.Log)
+	n.peers = h1.NewServer(n.upstream, n.peerLimits, n.config.Log)
+	n.peers.RequirePrefaces(map[h1.Preface]h1.Handler{mesh.CallsPreface: n.upstream, mesh.MessagesPreface: n.gossiper})
+	n.peers.OnRefused(newConnectionRefusals(n.config.Log, scope).note)
 	for _, server := range []*h1.Server{n.callers, n.peers} {
 		server.OnUnread(func(status int) {
 			scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_unread").Inc(1)
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -129,7 +129,9 @@
 	gossiper  *gossip.Gossiper
 	syncer    *storesync.Syncer
 	instances *mesh.Instances
-	peerPools *mesh.PeerPools
+	// callPools carries calls to other nodes, messagePools the nodes' own messages.
+	callPools    *mesh.PeerPools
+	messagePools *mesh.PeerPools
 	upstream  *mesh.Upstream
 	budget    *budget.Budget
 	outbound  *mesh.Outbound
@@ -200,13 +202,13 @@
 	refusals := directory.NewRefusals(c.Log, scope)
 	n.directory.OnRefused(refusals.Note)
 	n.document = gossip.NewDocument(c.DecodeRoutes, c.Log)
-	n.peerPools = mesh.NewPeerPools()
+	n.callPools, n.messagePools = mesh.NewPeerPools(mesh.CallsPreface), mesh.NewPeerPools(mesh.MessagesPreface)
 	n.instances = mesh.NewInstances(c.Region, c.FailureDomain, n.directory, serviceValues)
 	n.budget = budget.New(c.Bounds.budget(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.budget.OnScarcity(n.logScarcity)
 	storeEra := gossip.NewStoreEra(c.Log)
 	n.gossiper = gossip.New(gossip.Config{
-		Directory: n.directory, Document: n.document, StoreEra: storeEra, Sender: n.peerPools, Seeds: c.Seeds,
+		Directory: n.directory, Document: n.document, StoreEra: storeEra, Sender: n.messagePools, Seeds: c.Seeds,
 		OnRemoved: func(node string) { go n.syncer.Remove(context.Background(), node) },
 		OnSpoiled: func() { n.syncer.CheckEntry() }, Log: c.Log, Scope: scope,
 	})
@@ -223,7 +225,7 @@
 	n.quotas = newQuotas(c.PeerAddress, n.started, c.Log, scope)
 	n.outbound = mesh.NewOutbound(mesh.OutboundConfig{
 		Service: c.Service, InFlight: inFlight, Protocol: c.Protocol, Routes: n.document.Table,
-		Instances: n.instances, Peers: n.peerPools, Budget: n.budget, Quotas: n.quotas, Log: c.Log, Scope: scope,
+		Instances: n.instances, Peers: n.callPools, Budget: n.budget, Quotas: n.quotas, Log: c.Log, Scope: scope,
 	})
 	n.buildServers(scope)
 	n.directory.OnChange(n.directoryChanged)
@@ -340,7 +342,9 @@
 	if generation := n.directory.Generation(); n.appliedGeneration.Swap(generation) != generation {
 		peers := n.directory.Peers()
 		n.budget.SetNodes(len(peers) + 1)
-		n.peerPools.Retain(append(peers, n.config.Seeds...))
+		addresses := append(peers, n.config.Seeds...)
+		n.callPools.Retain(addresses)
+		n.messagePools.Retain(addresses)
 		n.quotas.setFleet(n.directory)
 	}
 	n.gossiper.Disseminate(changed)
