--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -132,7 +132,7 @@
 // merge applies the entries and the configuration that a peer sent, and the store's era that
 // it knows.
 func (g *Gossiper) merge(m message, peer string) {
-	g.config.StoreEra.Observe(m.StoreEra)
+	g.config.StoreEra.ObservePeer(m.StoreEra)
 	if m.Spoiled && g.config.OnSpoiled != nil {
 		g.config.OnSpoiled()
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -255,6 +256,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); synctest.Wait() }()
 		_, fleet := startFleet(ctx, 30)
+		for _, g := range fleet {
+			g.config.StoreEra.Observe(1)
+		}
 		time.Sleep(10 * time.Second)
 		fleet[7].config.StoreEra.Observe(2)
 		time.Sleep(4 * time.Second)
@@ -264,6 +268,19 @@
 	})
 }
 
+// Guards against a peer's era that hides the returns of the store from a node, since it is above all
+// that the store will state.
+func TestEraOfAPeerIsBounded(t *testing.T) {
+	e := NewStoreEra(zerolog.Nop())
+	e.ObservePeer(3)
+	assert.Equal(t, e.Current(), uint64(0), "before the store has stated one")
+	e.Observe(3)
+	for _, c := range []struct{ stated, want uint64 }{{2, 3}, {math.MaxUint64, 3}, {3 + maxEraStep + 1, 3}, {3 + maxEraStep, 3 + maxEraStep}} {
+		e.ObservePeer(c.stated)
+		assert.Equal(t, e.Current(), c.want, "%d", c.stated)
+	}
+}
+
 // Guards against a configuration that returns to an older version, and against an
 // invalid one that replaces the one in force.
 func TestDocumentVersionOnlyRises(t *testing.T) {
--- a/internal/gossip/store_era.go
+++ b/internal/gossip/store_era.go
@@ -7,6 +7,10 @@
 	"github.com/rs/zerolog"
 )
 
+// maxEraStep bounds the returns of the store that a node may have missed. It learns of more of them
+// from the store.
+const maxEraStep = 16
+
 // StoreEra holds the highest era of the platform's store that this node knows, from the store
 // or from a peer; see platform.EraStore. It is safe for concurrent use.
 type StoreEra struct {
@@ -53,6 +57,14 @@
 	}
 }
 
+// ObservePeer records an era that a peer states. A peer's word is no proof of an era: before this node
+// has learned one from the store, and beyond maxEraStep above that, it is ignored.
+func (e *StoreEra) ObservePeer(era uint64) {
+	if known := e.Current(); known > 0 && era-known <= maxEraStep {
+		e.Observe(era)
+	}
+}
+
 // Current returns the highest known era, zero before the first.
 func (e *StoreEra) Current() uint64 {
 	e.mu.Lock()
--- a/internal/mesh/hop.go
+++ b/internal/mesh/hop.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return hop{}, errors.Wrapf(err, "%s: want milliseconds", call.HeaderTimeout)
 	}
+	if milliseconds < 0 || milliseconds > call.MaxTimeout.Milliseconds() {
+		return hop{}, errors.Errorf("%s: got %d: want 0 to %d milliseconds", call.HeaderTimeout, milliseconds, call.MaxTimeout.Milliseconds())
+	}
 	priority, err := call.ParsePriority(call.First(h, call.HeaderPriority))
 	if err != nil {
 		return hop{}, err
--- a/internal/mesh/outbound.go
+++ b/internal/mesh/outbound.go
@@ -212,6 +212,7 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
+	timeout = min(timeout, call.MaxTimeout)
 	_, point := math.Modf(float64(c.sequence.Add(1)) * goldenRatioFraction)
 	o := &outboundCall{
 		outbound: c, request: r, info: info, route: route, configVersion: configVersion,
