internal/ingress, internal/node: a request that names a service is a call, not an announcement

Whatever came to the loopback listener with the path /mustardwing/v1/upstream was an announcement of the upstream, also a call whose path the upstream takes from its own caller: a DELETE got 204 and withdrew the upstream.

Change: a request with Mustardwing-Service is a call. The wait for the settings asks the same function. Calls that name their service by Host only keep the path reserved, as before. A call between nodes is told from a control message by a header that the sending node always sets; the test shows that a caller cannot suppress it.

Evidence: TestCallIsNotTakenForAMessage failed before (204 in place of the upstream's response).

--- a/internal/ingress/loopback.go
+++ b/internal/ingress/loopback.go
@@ -17,6 +17,12 @@
 // AnnouncementPath is the path at which the upstream sends its announcements.
 const AnnouncementPath = "/mustardwing/v1/upstream"
 
+// IsAnnouncement reports whether a request at the loopback listener is an announcement of the upstream.
+// One that names a service is a call, whose path may be chosen by somebody for whom the upstream makes it.
+func IsAnnouncement(r *http.Request) bool {
+	return r.URL.Path == AnnouncementPath && len(r.Header[call.HeaderService]) == 0
+}
+
 // LoopbackConfig holds what the loopback listener needs.
 type LoopbackConfig struct {
 	Config
@@ -40,7 +46,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *LoopbackHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == AnnouncementPath {
+	if IsAnnouncement(r) {
 		h.serveAnnouncement(w, r)
 		return
 	}
--- a/internal/ingress/path_test.go
+++ b/internal/ingress/path_test.go
@@ -40,6 +40,30 @@
 	assert.Equal(t, len(response.Header[call.HeaderAttempt]), 0)
 }
 
+// Guards against a call that is taken for an announcement of the upstream or a control message of a node
+// because of its path or what its caller says of an attempt.
+func TestCallIsNotTakenForAMessage(t *testing.T) {
+	f := newFleet(t, nil)
+	address := startUpstream(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	n := f.add("", "", nil)
+	f.add("ledger", address, nil)
+	for _, path := range []string{"/mustardwing/v1/upstream", "/mustardwing.peer.v1.PeerService/Sync"} {
+		for _, listener := range []string{n.callerAddress, n.loopbackAddress} {
+			for _, connection := range []string{"keep-alive", call.HeaderAttempt} {
+				r := newRequest(t, http.MethodDelete, listener, "ledger", "")
+				r.URL.Path, r.URL.RawQuery = path, ""
+				r.Header.Set(call.HeaderService, "ledger")
+				r.Header.Set("Connection", connection)
+				response, err := newCaller(t).Do(r)
+				assert.NilError(t, err)
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), path, "%d", response.StatusCode)
+			}
+		}
+	}
+}
+
 // Guards against an announcement that is applied although one of its fields is
 // invalid, and against an error that does not name the field.
 func TestAnnouncement(t *testing.T) {
--- a/internal/node/settings_gate.go
+++ b/internal/node/settings_gate.go
@@ -47,7 +47,7 @@
 // released. A caller that disconnects before that gets no response.
 func (g *settingsGate) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != ingress.AnnouncementPath {
+		if !ingress.IsAnnouncement(r) {
 			select {
 			case <-g.open:
 			case <-r.Context().Done():
