internal/h1, internal/delivery: a receiver that is alive and does not read keeps its request

Cause: TCP_USER_TIMEOUT, set to 900 ms to notice dead upstreams and peers, also runs while a live one has closed its receive window. Ruled out: a deadline of the node (the error is the kernel's) and the keep-alive probes (2 s, and none while there are bytes to send).

Change: while a request with a body takes longer than 200 ms, the node lifts the timeout as long as what was sent last is answered, and closes the connection itself once nothing has answered for 900 ms.

internal/meshnode/node.go is formatted again.

--- a/internal/delivery/tracker.go
+++ b/internal/delivery/tracker.go
@@ -73,9 +73,9 @@
 // check reports whether bytes are not acknowledged, and how long ago the remote end last
 // acknowledged some or something was written. mu must be held.
 func (t *Tracker) check(now time.Time) (outstanding bool, stalled time.Duration) {
-	acked, outstanding := acknowledged(t.conn)
-	if acked != t.acked {
-		t.acked, t.progress = acked, now
+	p, _ := ReadProgress(t.conn)
+	if p.Acked != t.acked {
+		t.acked, t.progress = p.Acked, now
 	}
-	return outstanding, now.Sub(t.progress)
+	return p.Outstanding(), now.Sub(t.progress)
 }
--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -71,6 +71,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	defer c.messages.release()
+	if c.pool.config.DetectDeadPeer && r.BodyLength() > 0 {
+		defer watchReceiver(c.conn).end()
+	}
 	written, err := c.send(r)
 	if err != nil {
 		return nil, &SendError{Sent: true, Cause: err}
--- a/internal/h1/delivery_test.go
+++ b/internal/h1/delivery_test.go
@@ -116,6 +116,23 @@
 	}
 }
 
+// Guards against a response larger than all buffers that is cut off because its caller, which is alive,
+// reads nothing for a while.
+func TestCallerThatPausesGetsTheResponse(t *testing.T) {
+	const bytes = 16 << 20
+	_, address := startServer(t, func(context.Context, *Request) *Response {
+		return textResponse(http.StatusOK, strings.Repeat("x", bytes))
+	}, testLimits())
+	c, reader := dial(t, address)
+	write(t, c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	time.Sleep(3 * time.Second)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	read, err := io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, read, int64(bytes))
+}
+
 // Guards against a response that is cut off after a fixed time, although its caller takes it all the
 // while.
 func TestResponseTakenSlowlyIsNotGivenUp(t *testing.T) {
--- a/internal/h1/sockopt.go
+++ b/internal/h1/sockopt.go
@@ -15,7 +15,8 @@
 	keepAliveInterval = time.Second
 	// unackedTimeout closes a connection whose remote end acknowledges no data for
 	// this long. It is longer than a retransmission takes and shorter than the
-	// keep-alive probes take.
+	// keep-alive probes take. The kernel also applies it while the remote end acknowledges all that
+	// fits into its receive window and reads nothing; see receiverWatch.
 	unackedTimeout = 900 * time.Millisecond
 )
 
@@ -28,12 +29,21 @@
 		return
 	}
 	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1})
-	raw, err := tcp.SyscallConn()
+	setUserTimeout(tcp, unackedTimeout)
+}
+
+// setUserTimeout sets how long the kernel waits for an acknowledgement, zero for its default.
+func setUserTimeout(c net.Conn, timeout time.Duration) {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
 	})
 }
 
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -132,14 +132,14 @@
 	// callPools carries calls to other nodes, messagePools the nodes' own messages.
 	callPools    *mesh.PeerPools
 	messagePools *mesh.PeerPools
-	upstream  *mesh.Upstream
-	budget    *budget.Budget
-	outbound  *mesh.Outbound
-	quotas    *quotas
-	callers   *h1.Server
-	peers     *h1.Server
-	listeners []net.Listener
-	started   time.Time
+	upstream     *mesh.Upstream
+	budget       *budget.Budget
+	outbound     *mesh.Outbound
+	quotas       *quotas
+	callers      *h1.Server
+	peers        *h1.Server
+	listeners    []net.Listener
+	started      time.Time
 	// appliedGeneration is the generation of the directory whose peers were applied last.
 	appliedGeneration atomic.Uint64
 	// leaving is set once Shutdown has begun.
