internal/storesync, internal/gossip: more nodes read the configuration while calls of some fail

The nodes could always reach each other, so the fraction of reachable nodes, which raises both numbers, stayed at 1.

Change: a node two of whose calls in a row fail says so in its messages for 10 s. Meanwhile twelve nodes watch the configuration, and those whose own calls succeed poll four times as often. Every node knows and shows the age of its configuration (config_age_ms, config_age_seconds).

A test of the peer connections failed once with status 502 instead of a call: its upstream closed idle connections after 30 ms and the call is not idempotent (1 of 32 runs of the package's tests beside each other; 0 of 32 with the usual limits, which it has now).

--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -35,7 +35,7 @@
 		}
 		d.Merge(all)
 		pair[i] = New(Config{
-			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: sender,
+			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), StoreTrouble: NewStoreTrouble(), Sender: sender,
 			OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		net.nodes[name] = pair[i]
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -86,7 +86,7 @@
 // send sends a message with the version of this node's configuration and returns the
 // response.
 func (g *Gossiper) send(ctx context.Context, peer string, m message) (message, error) {
-	m.ConfigVersion, m.StoreEra = g.config.Document.Version(), g.config.StoreEra.Current()
+	g.describe(&m)
 	body, header, err := encode(m)
 	if err != nil {
 		return message{}, err
@@ -99,6 +99,13 @@
 	return decode(response.Header, response.Body)
 }
 
+// describe sets what every message states of this node's configuration and of the store.
+func (g *Gossiper) describe(m *message) {
+	now := time.Now()
+	m.ConfigVersion, m.ConfigAge = g.config.Document.confirmation(now)
+	m.StoreEra, m.StoreTrouble = g.config.StoreEra.Current(), g.config.StoreTrouble.ageMs(now)
+}
+
 // Serve merges a gossip request from a peer and returns what the request asks for.
 func (g *Gossiper) Serve(_ context.Context, r *h1.Request) *h1.Response {
 	m, err := decode(r.Header, r.Body)
@@ -108,7 +115,8 @@
 	}
 	g.recordReceived()
 	g.merge(m, r.RemoteIP)
-	response := message{ConfigVersion: g.config.Document.Version(), Digest: g.config.Directory.Digest(), StoreEra: g.config.StoreEra.Current()}
+	response := message{Digest: g.config.Directory.Digest()}
+	g.describe(&response)
 	switch {
 	case m.Compare != nil:
 		response.Entries, response.Wanted = g.config.Directory.Compare(m.Compare.Buckets, m.Compare.Differing, m.Compare.Versions)
@@ -132,7 +140,9 @@
 // merge applies the entries and the configuration that a peer sent, and the store's era that
 // it knows.
 func (g *Gossiper) merge(m message, peer string) {
+	now := time.Now()
 	g.config.StoreEra.ObservePeer(m.StoreEra)
+	g.config.StoreTrouble.observePeer(now, m.StoreTrouble)
 	if m.Spoiled && g.config.OnSpoiled != nil {
 		g.config.OnSpoiled()
 	}
@@ -142,4 +152,7 @@
 	if len(m.Config) > 0 {
 		g.config.Document.Apply(m.Config, "node "+peer)
 	}
+	if m.ConfigAge > 0 && m.ConfigAge < maxConfigAge.Milliseconds() {
+		g.config.Document.Confirm(m.ConfigVersion, now.Add(-time.Duration(m.ConfigAge)*time.Millisecond))
+	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,7 +62,9 @@
 	// Document holds the operators' configuration.
 	Document *Document
 	StoreEra *StoreEra
-	Sender   Sender
+	// StoreTrouble is what the nodes know of failed calls to the store.
+	StoreTrouble *StoreTrouble
+	Sender       Sender
 	// Seeds are the addresses to contact while the directory holds no other node.
 	Seeds []string
 	// OnRemoved is called with a dead node after this node has removed its entry from the
@@ -111,6 +113,7 @@
 		pending:       make(map[string]directory.Entry),
 		peers:         peerSelector{directory: config.Directory, seeds: config.Seeds},
 	}
+	config.StoreTrouble.OnBegin(g.DisseminateConfig)
 	return g
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -86,7 +86,7 @@
 		address := fmt.Sprint("node-", i, ":1")
 		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
 		g := New(Config{
-			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: endpoint{net, address},
+			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), StoreTrouble: NewStoreTrouble(), Sender: endpoint{net, address},
 			Seeds: []string{"node-0:1"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		d.OnChange(g.Disseminate)
@@ -213,7 +213,7 @@
 		d := directory.New(directory.Entry{Node: "late", Address: "late:1"}, time.Now)
 		sender := &meter{endpoint: endpoint{net, "late"}, perPeer: map[string]int{}}
 		late := New(Config{
-			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: sender,
+			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), StoreTrouble: NewStoreTrouble(), Sender: sender,
 			Seeds: []string{"node-0:1"}, OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		go late.Run(ctx)
@@ -233,7 +233,7 @@
 		address := fmt.Sprint("node-", i, ":1")
 		d := directory.New(directory.Entry{Node: address, Address: address}, time.Now)
 		g := New(Config{
-			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Sender: &meter{endpoint: endpoint{net, address}, perPeer: map[string]int{}},
+			Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), StoreTrouble: NewStoreTrouble(), Sender: &meter{endpoint: endpoint{net, address}, perPeer: map[string]int{}},
 			OnRemoved: func(string) {}, Log: zerolog.Nop(), Scope: tally.NoopScope,
 		})
 		addNodes(d, 2, 1000)
@@ -299,7 +299,7 @@
 	f.Add([]byte(`{"config_version":1,"digest":2,"entries":[{"node":"a","address":"b"}],"config":9}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		d := directory.New(directory.Entry{Node: "self", Address: "self:1"}, time.Now)
-		g := New(Config{Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), Log: zerolog.Nop(), Scope: tally.NoopScope})
+		g := New(Config{Directory: d, Document: NewDocument(decodeVersion, zerolog.Nop()), StoreEra: NewStoreEra(zerolog.Nop()), StoreTrouble: NewStoreTrouble(), Log: zerolog.Nop(), Scope: tally.NoopScope})
 		response := g.Serve(context.Background(), &h1.Request{Body: body})
 		if response.Status == 200 {
 			var m message
@@ -366,3 +366,34 @@
 		assert.Assert(t, entry != nil && *entry.Upstream == upstream, "%+v", entry)
 	})
 }
+
+// Guards against nodes that do not learn soon that calls of another one to the store fail, or that the
+// configuration is what the store holds, and against either that is believed for ever.
+func TestNewsOfTheStoreReachesAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		_, fleet := startFleet(ctx, 30)
+		time.Sleep(10 * time.Second)
+		fleet[3].config.Document.ApplyStored([]byte("5"), time.Now())
+		fleet[7].config.StoreTrouble.Note(time.Now(), time.Now())
+		time.Sleep(time.Second)
+		for i, g := range fleet {
+			assert.Assert(t, g.config.StoreTrouble.Recent(time.Now()), "node %d", i)
+		}
+		time.Sleep(3 * time.Second)
+		for i, g := range fleet {
+			age, known := g.config.Document.ConfirmedAge(time.Now())
+			assert.Assert(t, known && age <= 4*time.Second+10*time.Millisecond, "node %d: %s", i, age)
+		}
+		time.Sleep(storeTroubleWindow)
+		for i, g := range fleet {
+			assert.Assert(t, !g.config.StoreTrouble.Recent(time.Now()), "node %d", i)
+			age, _ := g.config.Document.ConfirmedAge(time.Now())
+			assert.Assert(t, age >= 13*time.Second, "node %d: %s", i, age)
+			g.config.StoreTrouble.observePeer(time.Now(), -1)
+			g.config.StoreTrouble.observePeer(time.Now(), math.MaxInt64)
+			assert.Assert(t, !g.config.StoreTrouble.Recent(time.Now()), "node %d", i)
+		}
+	})
+}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -12,6 +12,12 @@
 	Digest        uint64 `json:"digest,omitempty"`
 	// StoreEra is the highest era of the store that the sender knows; see platform.EraStore.
 	StoreEra uint64 `json:"store_era,omitempty"`
+	// StoreTrouble is the time in milliseconds since calls of a node to the store last failed, zero if
+	// none has lately; see StoreTrouble.
+	StoreTrouble int64 `json:"store_trouble,omitempty"`
+	// ConfigAge is the time in milliseconds since the sender's configuration was last known to be what
+	// the store holds, at least one; zero if that is not known.
+	ConfigAge int64 `json:"config_age,omitempty"`
 	// UpdateOnly is set when the message only carries changes. The receiver then does not
 	// compare its digest with the sender's, since the digests differ while changes are
 	// disseminated.
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -134,12 +134,15 @@
 	messagePools *mesh.PeerPools
 	upstream     *mesh.Upstream
 	budget       *budget.Budget
-	outbound     *mesh.Outbound
-	quotas       *quotas
-	callers      *h1.Server
-	peers        *h1.Server
-	listeners    []net.Listener
-	started      time.Time
+	// configAge shows the time since the configuration was last known to be what the store holds, in
+	// seconds.
+	configAge tally.Gauge
+	outbound  *mesh.Outbound
+	quotas    *quotas
+	callers   *h1.Server
+	peers     *h1.Server
+	listeners []net.Listener
+	started   time.Time
 	// appliedGeneration is the generation of the directory whose peers were applied last.
 	appliedGeneration atomic.Uint64
 	// leaving is set once Shutdown has begun.
@@ -206,14 +209,15 @@
 	n.instances = mesh.NewInstances(c.Region, c.FailureDomain, n.directory, serviceValues)
 	n.budget = budget.New(c.Bounds.budget(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.budget.OnScarcity(n.logScarcity)
-	storeEra := gossip.NewStoreEra(c.Log)
+	n.configAge = scope.Gauge("config_age_seconds")
+	storeEra, storeTrouble := gossip.NewStoreEra(c.Log), gossip.NewStoreTrouble()
 	n.gossiper = gossip.New(gossip.Config{
-		Directory: n.directory, Document: n.document, StoreEra: storeEra, Sender: n.messagePools, Seeds: c.Seeds,
+		Directory: n.directory, Document: n.document, StoreEra: storeEra, StoreTrouble: storeTrouble, Sender: n.messagePools, Seeds: c.Seeds,
 		OnRemoved: func(node string) { go n.syncer.Remove(context.Background(), node) },
 		OnSpoiled: func() { n.syncer.CheckEntry() }, Log: c.Log, Scope: scope,
 	})
 	n.syncer = storesync.New(storesync.Config{
-		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document, StoreEra: storeEra,
+		Store: c.Store, Keys: c.Keys, Directory: n.directory, Document: n.document, StoreEra: storeEra, StoreTrouble: storeTrouble,
 		LastReceived: n.gossiper.LastReceived, ReachableFraction: n.gossiper.ReachableFraction, Settings: n.settings, SettingsChanged: n.settingsChanged,
 		OnSpoiled: func(nodes []string) { n.gossiper.ReportSpoiled(context.Background(), nodes) }, Refusals: refusals, Log: c.Log, Scope: scope,
 	})
@@ -287,13 +291,16 @@
 
 // nodeStatus is the status of this node as the admin address returns it.
 type nodeStatus struct {
-	Self             directory.Entry `json:"self"`
-	ConfigVersion    uint64          `json:"config_version"`
-	SettingsRevision int64           `json:"settings_revision"`
-	Nodes            int             `json:"nodes"`
-	CallsInFlight    int64           `json:"calls_in_flight"`
-	UpstreamInFlight int64           `json:"upstream_in_flight"`
-	Ready            string          `json:"ready"`
+	Self          directory.Entry `json:"self"`
+	ConfigVersion uint64          `json:"config_version"`
+	// ConfigAgeMs is the time since the configuration was last known to be what the store holds, nil if
+	// that is not known.
+	ConfigAgeMs      *int64 `json:"config_age_ms,omitempty"`
+	SettingsRevision int64  `json:"settings_revision"`
+	Nodes            int    `json:"nodes"`
+	CallsInFlight    int64  `json:"calls_in_flight"`
+	UpstreamInFlight int64  `json:"upstream_in_flight"`
+	Ready            string `json:"ready"`
 	// Organisations lists those of the configuration in force, at most maxListedOrganisations.
 	Organisations      []organisationStatus `json:"organisations,omitempty"`
 	OrganisationsTotal int                  `json:"organisations_total"`
@@ -309,6 +316,10 @@
 		Nodes: n.directory.Size(), CallsInFlight: n.callers.InFlight(), UpstreamInFlight: n.peers.InFlight(), Ready: "yes",
 		Quotas: n.quotas.node.Status(time.Now()),
 	}
+	if age, known := n.document.ConfirmedAge(time.Now()); known {
+		ms := age.Milliseconds()
+		s.ConfigAgeMs = &ms
+	}
 	s.Organisations, s.OrganisationsTotal = n.organisationStatuses()
 	if err := n.Ready(); err != nil {
 		s.Ready = err.Error()
--- a/internal/meshnode/peer_connection_test.go
+++ b/internal/meshnode/peer_connection_test.go
@@ -72,7 +72,7 @@
 	upstream := serveHandler(t, h1.NewServer(h1.HandlerFunc(func(context.Context, *h1.Request) *h1.Response {
 		p.calls.Add(1)
 		return &h1.Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte("called")}
-	}), limits, zerolog.Nop()))
+	}), routing.DefaultLimits, zerolog.Nop()))
 	route := &routing.Route{Name: "all", Host: "h", Prefix: "/", Targets: []routing.Target{{Service: "s", Weight: 1}}}
 	table := routing.New(1, routing.DefaultLimits(), []*routing.Route{route})
 	p.node = &Node{settings: settings.NewHolder(), started: time.Now(), config: Config{
--- a/internal/meshnode/upstream.go
+++ b/internal/meshnode/upstream.go
@@ -95,6 +95,9 @@
 		case now := <-ticker.C:
 			n.upstream.ExpireAnnouncement(now, n.announcementDelay())
 			n.upstream.ReportCapacity()
+			if age, known := n.document.ConfirmedAge(now); known {
+				n.configAge.Update(age.Seconds())
+			}
 		}
 	}
 }
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -70,6 +70,8 @@
 	Directory *directory.Directory
 	Document  *gossip.Document
 	StoreEra  *gossip.StoreEra
+	// StoreTrouble receives the failures of this node's calls, and says whether other nodes have some.
+	StoreTrouble *gossip.StoreTrouble
 	// LastReceived returns when this node last received a message from a peer.
 	LastReceived func() time.Time
 	// ReachableFraction returns the fraction of the other nodes that this node can exchange
@@ -103,6 +105,8 @@
 	// place of this node's entry, until publish takes notice of it.
 	foreignRevision atomic.Int64
 	restorer        restorer
+	// failedCalls is the number of calls to the store that failed since the last successful one.
+	failedCalls atomic.Int64
 	// started is when Run was called, nil before.
 	started atomic.Pointer[time.Time]
 	// ranks holds the watcherRank of each prefix.
@@ -169,17 +173,19 @@
 	for ctx.Err() == nil {
 		// The mean of the jittered delay is three quarters of its limit.
 		sleepJittered(ctx, pollInterval*4/3)
-		if rand.Float64() >= s.share(1) {
+		if rand.Float64() >= s.share(s.polls()) {
 			continue
 		}
 		s.calls.Inc(1)
+		sent := time.Now()
 		o, err := s.config.Store.Get(ctx, s.config.Keys.Config)
 		s.observeEra()
+		s.noteCall(err)
 		if err != nil {
 			s.errors.Inc(1)
 			continue
 		}
-		s.config.Document.Apply(o.Value, "store")
+		s.config.Document.ApplyStored(o.Value, sent)
 	}
 }
 
@@ -228,6 +234,9 @@
 	s.calls.Inc(1)
 	listing, err := s.config.Store.List(ctx, prefix)
 	s.observeEra()
+	if ctx.Err() == nil {
+		s.noteCall(err)
+	}
 	if era == 0 {
 		era = s.config.StoreEra.Current()
 	}
@@ -253,6 +262,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		s.noteCall(err)
 		if errors.Is(err, platform.ErrCompacted) {
 			s.config.Log.Info().Str("for", prefix).Int64("after", version).Msg("store history was compacted; listing the prefix again")
 			sleepJittered(ctx, minBackoff)
@@ -298,7 +308,7 @@
 func (s *Syncer) applyConfig(c change) {
 	for _, o := range c.objects {
 		if o.Key == s.config.Keys.Config && !o.Deleted {
-			s.config.Document.Apply(o.Value, "store")
+			s.config.Document.ApplyStored(o.Value, time.Now())
 		}
 	}
 }
--- a/internal/storesync/syncer_test.go
+++ b/internal/storesync/syncer_test.go
@@ -56,7 +56,7 @@
 	n := &node{}
 	d := directory.New(directory.Entry{Node: name, Address: name + ":1"}, time.Now)
 	n.Syncer = New(Config{
-		Store: store, Keys: testKeys(), Directory: d, Document: gossip.NewDocument(decodeVersion, zerolog.Nop()), StoreEra: gossip.NewStoreEra(zerolog.Nop()),
+		Store: store, Keys: testKeys(), Directory: d, Document: gossip.NewDocument(decodeVersion, zerolog.Nop()), StoreEra: gossip.NewStoreEra(zerolog.Nop()), StoreTrouble: gossip.NewStoreTrouble(),
 		LastReceived: func() time.Time { return time.Unix(0, n.lastReceived.Load()) }, ReachableFraction: func() float64 { return 1 }, Refusals: directory.NewRefusals(zerolog.Nop(), tally.NoopScope), Settings: settings.NewHolder(), SettingsChanged: func() { n.changes.Add(1) },
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
--- a/internal/storesync/watchers.go
+++ b/internal/storesync/watchers.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
 const (
@@ -15,6 +18,14 @@
 	// the fleet. With six watchers, it is unlikely that the store refuses all of them at
 	// the same time.
 	watcherCount = 6
+	// troubledWatchers and troubledPolls take the place of watcherCount and of one poll while calls of
+	// some node fail, since the nodes that read for all may be among those that cannot, and some of
+	// them may not know it yet.
+	troubledWatchers = 2 * watcherCount
+	troubledPolls    = 4
+	// troubleAfter is the number of calls in a row that have to fail. A single one may be a watch that
+	// was cut off.
+	troubleAfter = 2
 	// isolatedAfter is how long a node without a message from a peer waits before it
 	// watches the store itself.
 	isolatedAfter = time.Second
@@ -30,7 +41,37 @@
 	if s.isolated() {
 		return true
 	}
-	return float64(s.watcherRank(prefix)) < watcherCount/s.config.ReachableFraction()
+	return float64(s.watcherRank(prefix)) < s.watchers(prefix)/s.config.ReachableFraction()
+}
+
+// watchers returns the number of nodes that watch a prefix. Entries reach all nodes from their owners
+// too, the configuration only from the store.
+func (s *Syncer) watchers(prefix string) float64 {
+	if prefix == s.config.Keys.ConfigPrefix && s.config.StoreTrouble.Recent(time.Now()) {
+		return troubledWatchers
+	}
+	return watcherCount
+}
+
+// polls returns how many nodes poll the configuration, on average, in each pollInterval. A node whose
+// own calls fail leaves the additional ones to others.
+func (s *Syncer) polls() float64 {
+	if s.failedCalls.Load() == 0 && s.config.StoreTrouble.Recent(time.Now()) {
+		return troubledPolls
+	}
+	return 1
+}
+
+// noteCall records the outcome of a call to the store, nil for a success.
+func (s *Syncer) noteCall(err error) {
+	if err == nil || errors.Is(err, platform.ErrCompacted) || resultcode.From(err).Code == resultcode.ScopeNotFound {
+		s.failedCalls.Store(0)
+		return
+	}
+	if s.failedCalls.Add(1) >= troubleAfter {
+		now := time.Now()
+		s.config.StoreTrouble.Note(now, now)
+	}
 }
 
 // rank is a watcherRank with the generation of the directory for which it was computed.
