--- a/internal/h1/memory.go
+++ b/internal/h1/memory.go
@@ -107,17 +107,16 @@
 	m.mu.Unlock()
 	timer := time.NewTimer(reserveWait / 2)
 	defer timer.Stop()
-	for range 2 {
+	for _, last := range []bool{false, true} {
 		select {
 		case err := <-w.done:
 			return err
 		case <-timer.C:
 		}
-		m.mu.Lock()
-		w.urgent = true
-		m.evict()
-		m.mu.Unlock()
-		timer.Reset(reserveWait / 2)
+		if !last {
+			m.hurry(w)
+			timer.Reset(reserveWait / 2)
+		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -127,6 +126,14 @@
 	return <-w.done
 }
 
+// hurry makes a waiter urgent and makes room for it.
+func (m *Memory) hurry(w *waiter) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w.urgent = true
+	m.evict()
+}
+
 // removeWaiter reports whether a reservation still waits, and ends that. The lock must be held.
 func (m *Memory) removeWaiter(w *waiter) bool {
 	i := slices.Index(m.waiters, w)
@@ -177,7 +184,7 @@
 		if !victim.arrived.After(w.holder.arrived) || m.willFit(w) {
 			return
 		}
-		if victim.evicted || victim == w.holder {
+		if victim.evicted {
 			continue
 		}
 		victim.evicted = true
@@ -194,26 +201,24 @@
 // willFit reports whether a waiter fits once the evicted bodies and the complete ones are released, or, if
 // it is urgent, those that are being released. The lock must be held.
 func (m *Memory) willFit(w *waiter) bool {
-	// Bytes that stay held: those of growing bodies, or for an urgent waiter all but what is being
-	// released.
-	portionStays, stays := int64(0), int64(0)
-	if w.urgent {
-		portionStays, stays = w.portion.held, m.held
+	portionHeld, held := w.portion.held, m.held
+	if !w.urgent {
+		portionHeld, held = 0, 0
 	}
 	for _, h := range m.growing {
-		change := h.held
+		change := int64(0)
 		switch {
+		case !w.urgent && !h.evicted:
+			change = h.held
 		case w.urgent && h.releasing:
 			change = -h.held
-		case w.urgent || h.evicted:
-			continue
 		}
-		stays += change
+		held += change
 		if h.portion == w.portion {
-			portionStays += change
+			portionHeld += change
 		}
 	}
-	return w.portion.fits(portionStays, stays, w.bytes)
+	return w.portion.fits(portionHeld, held, w.bytes)
 }
 
 // fits reports whether bytes fit beside those that are held of the portion and of the memory.
--- a/internal/h1/receiverwatch.go
+++ b/internal/h1/receiverwatch.go
@@ -13,8 +13,9 @@
 
 // receiverWatch detects a dead remote end while it takes a request. The kernel's timeout cannot tell it
 // from one that is alive and does not read: it runs while the receive window is closed, although the
-// remote end answers all probes of the window and all bytes that are sent again. So the watch lifts that timeout as long as
-// acknowledgements arrive, and closes the connection once none answers what was sent.
+// remote end answers all probes of the window and all bytes that are sent again. So the watch lifts
+// that timeout as long as acknowledgements arrive, and closes the connection once none answers what
+// was sent.
 type receiverWatch struct {
 	conn net.Conn
 	// lifted is set while the kernel's timeout is lifted.
--- a/internal/meshnode/confirmation.go
+++ b/internal/meshnode/confirmation.go
@@ -94,8 +94,8 @@
 	n.announceSelf(n.upstream.Announce(time.Now(), a), cold)
 }
 
-// dropPending drops the pending announcement if the instance with the given id sent it. announceMu must be
-// held.
+// dropPending drops the pending announcement if the instance with the given id sent it. announceMu
+// must be held.
 func (n *Node) dropPending(id string) {
 	if n.pending != nil && n.pending.announcement.ID == id {
 		n.pending = nil
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -396,7 +396,8 @@
 // Shutdown announces that the node leaves, after upstreamGracePeriod if its upstream is ready.
 // From the beginning it refuses calls that would probably outlast limit, and after
 // leaveGracePeriod all root requests. From then on it returns as soon as no call is in flight and the
-// callers have taken the responses, after limit at the latest. Calls of the local instance that are still in flight shortly before the limit
+// callers have taken the responses, after limit at the latest. Calls of the local instance that are
+// still in flight shortly before the limit
 // are cancelled and get a response; see mesh.Outbound.Stop.
 func (n *Node) Shutdown(limit time.Duration) {
 	end := time.Now().Add(limit)
