internal/meshnode, platform: no confirmation at the first start of the fleet

Nobody can have left before.

Change: the settings say whether the whole system starts for the first time; then the first heartbeat counts.

The new row of TestUpstreamThatAcceptsCallsIsNotKeptOut fails without the change, since its health check fails.

--- a/internal/meshnode/confirmation.go
+++ b/internal/meshnode/confirmation.go
@@ -25,10 +25,10 @@
 
 // needsConfirmation reports whether an announcement may have been sent before its sender left: an
 // earlier process of this node may have acknowledged that, and nobody else may know. That is not so
-// if the announcement was sent after the start of this process, which then has seen every leave since,
+// at the first start of the fleet, if the announcement was sent after the start of this process, which then has seen every leave since,
 // or if its sender is the current upstream. announceMu must be held.
 func (n *Node) needsConfirmation(a mesh.Announcement, recent bool) bool {
-	if recent || a.Draining || time.Since(n.started) >= n.announcementDelay() {
+	if recent || a.Draining || n.config.FirstStart || time.Since(n.started) >= n.announcementDelay() {
 		return false
 	}
 	current, known := n.upstream.Current()
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -112,6 +112,9 @@
 	Bounds Bounds
 	// Heartbeat is how often the upstream announces itself.
 	Heartbeat time.Duration
+	// FirstStart is set when the whole fleet starts for the first time, so that no node has had an
+	// earlier process.
+	FirstStart bool
 	// LearnedCapacity is the default of the setting learned_capacity.
 	LearnedCapacity bool
 	// MemoryMiB is the memory of the process; with zero, neither the heap nor the bodies that it
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -206,6 +206,7 @@
 			n.Announce(mesh.Announcement{ID: "i-1", Incarnation: 7, Service: "s", Address: "127.0.0.1:1", Slots: 4}, 0, true)
 		}},
 		"no announcement can be late any more": {http.StatusServiceUnavailable, func(n *Node) { n.started = n.started.Add(-n.announcementDelay()) }, nothing},
+		"first start of the fleet":             {http.StatusServiceUnavailable, func(n *Node) { n.config.FirstStart = true }, nothing},
 		"no health check":                      {http.StatusServiceUnavailable, func(n *Node) { n.document.Table().HealthPaths["s"] = "" }, nothing},
 	} {
 		t.Run(name, func(t *testing.T) {
