--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -42,6 +42,8 @@
 	failed failedCalls
 	// preface is what is to be sent before the next request, empty once it was.
 	preface Preface
+	// closeDelimited is set if the body of the latest response ends with its connection.
+	closeDelimited bool
 	// mustClose is set when the connection must not be reused.
 	mustClose bool
 	// idleSince is when the latest exchange ended, idleLimit how long the connection may
@@ -74,11 +76,14 @@
 	if c.pool.config.DetectDeadPeer && r.BodyLength() > 0 {
 		defer watchReceiver(c.conn).end()
 	}
-	written, err := c.send(r)
+	write, err := c.send(r)
 	if err != nil {
 		return nil, &SendError{Sent: true, Cause: err}
 	}
 	response, err := c.receive(r)
+	if err == nil && c.closeDelimited && write != nil {
+		err = errors.Wrap(write.failure(), "response without a length")
+	}
 	if err != nil {
 		return nil, &SendError{Sent: true, Cause: err}
 	}
@@ -88,13 +93,7 @@
 	if response.Status >= http.StatusBadRequest && !c.failed.add(r.ID) {
 		c.mustClose = true
 	}
-	if written == nil {
-		return response, nil
-	}
-	select {
-	case err := <-written:
-		c.mustClose = c.mustClose || err != nil
-	default:
+	if write != nil && !c.mustClose && !write.complete() {
 		// The response arrived before the whole body was sent; the server would
 		// parse the rest of the body as the next request.
 		c.mustClose = true
@@ -103,8 +102,8 @@
 }
 
 // send writes the request. A large body is written concurrently with the wait for
-// the response; the channel receives the result of the write. It is nil for other requests.
-func (c *clientConn) send(r *Request) (<-chan error, error) {
+// the response; the result is nil for other requests.
+func (c *clientConn) send(r *Request) (*bodyWrite, error) {
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	*buffer = appendRequestHead(append((*buffer)[:0], c.preface...), r)
@@ -113,13 +112,7 @@
 		if _, err := c.conn.Write(*buffer); err != nil {
 			return nil, err
 		}
-		written := make(chan error, 1)
-		go func() {
-			body := append(net.Buffers{r.Body}, r.Rest...)
-			_, err := body.WriteTo(c.conn)
-			written <- err
-		}()
-		return written, nil
+		return startBodyWrite(c.conn, r), nil
 	}
 	*buffer = append(*buffer, r.Body...)
 	_, err := c.conn.Write(*buffer)
@@ -178,6 +171,7 @@
 	}
 	c.reportHeader(r, parsed)
 	limit := c.pool.config.MaxResponseBytes
+	c.closeDelimited = parsed.Body != http.NoBody && parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0
 	if parsed.Body != http.NoBody {
 		body := &reservingReader{reader: parsed.Body, account: &c.pool.bodyBytes, unreserved: c.pool.unreservedBodyBytes}
 		defer body.release()
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -53,6 +54,30 @@
 	}
 }
 
+// Guards against the part of a response that came before a reset and that counts as whole, while the
+// write of a long request body learns of the reset.
+func TestResponseResetDuringUploadIsNotWhole(t *testing.T) {
+	for _, head := range []string{"", "Connection: close\r\n", "Content-Length: 8\r\n", "Transfer-Encoding: chunked\r\n"} {
+		for range 5 {
+			u := announced(t, scriptedUpstream(t, func(e scriptedConn) {
+				_, _ = http.ReadRequest(e.reader)
+				time.Sleep(20 * time.Millisecond)
+				e.write("HTTP/1.1 200 OK\r\n" + head + "\r\n4\r\npart")
+				time.Sleep(20 * time.Millisecond)
+				_ = e.Conn.(*net.TCPConn).SetLinger(0)
+			}), false)
+			response, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, strings.Repeat("x", 8<<20)))
+			if err != nil {
+				assert.Equal(t, resultcode.From(err).Code, resultcode.ConnectionLost)
+				assert.Equal(t, run, resultcode.Unknown)
+				continue
+			}
+			body, err := io.ReadAll(response.Body)
+			assert.Assert(t, err != nil, "%q of %q", body, head)
+		}
+	}
+}
+
 // Guards against the beginning of an earlier response, broken off in a header, that turns the failure
 // behind it into a success.
 func TestBeginningOfAnEarlierResponseIsNotBelieved(t *testing.T) {
