internal/responsecheck: a response whose header has an invalid field is not used

Callers got responses of a faulty upstream in whose header a field name held a space or a control byte: with that line passed on, or, where the byte was a LF before the name, a 200 whose body was the rest of the header. Such a 503 that states "not run" was believed, so a call that had run was refused as not run.

Cause: two parsers read responses. The project's own takes plain headers only and leaves all others to net/http, which accepts by its documentation what is not valid: spaces in a field name, folded lines, lines that end in LF alone, any byte in the reason phrase. Nothing looked at what it had accepted. The same parser reads for mustardwingd and for the clients of the store, also that of the command line.

Change: responsecheck.Head checks the bytes of a header as they arrive, up to the final response: a status line of HTTP/1, names that are tokens, no control bytes in values and in the reason phrase, lines that end in CR LF. RFC 9112 lets a receiver refuse a folded line and does not require it to accept LF alone. internal/h1 uses it for all that is not plain; Conn and Transport use it below net/http's transport, for upstreams of mustardwingd and for the store. Parsed names are checked too, also those of trailers. This works because the check does not depend on what a parser makes of the bytes; FuzzPlainResponse holds both parsers and the check against each other.

TestInvalidHeaderIsNoResponse (h1, upstream) and TestInvalidResponseOfTheStoreIsNotBelieved (both clients of the store) failed before. Of the new cases of TestBrokenResponsesReachNoCaller (two node processes) five of six failed before; control bytes other than LF were refused by net/http already, and the test stays. TestEndlessResponseIsGivenUp: bytes that are no status line are refused at the first one instead of at the limit, so the test expects that error.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -140,7 +140,7 @@
 	return c.pool.config.ResponseMatches == nil || c.pool.config.ResponseMatches(r, response)
 }
 
-// check returns an error for a header that cannot have come whole from the server. Nothing that it
+// check returns an error for a parsed header that cannot have come whole from the server. Nothing that it
 // states may be believed.
 func (c *clientConn) check(r *Request, parsed *http.Response) error {
 	if err := responsecheck.Joined(parsed.Status, parsed.Header); err != nil {
@@ -202,7 +202,7 @@
 		return nil, false, noEOF(err)
 	}
 	for {
-		parsed, plain, err = readResponseHeader(c.reader, &c.request)
+		parsed, plain, err = c.parseHeader()
 		if err != nil && c.messages.refused {
 			return nil, false, errBufferLimit
 		}
@@ -222,6 +222,29 @@
 	}
 }
 
+// parseHeader reads the header of a response or of an interim one. One that is not plain is read by
+// net/http, which accepts more than is valid, and is checked byte by byte beside it.
+func (c *clientConn) parseHeader() (parsed *http.Response, plain bool, err error) {
+	if parsed, plain, ok := readPlainResponse(c.reader, c.request.Method); ok {
+		return parsed, plain, nil
+	}
+	head := &responsecheck.Head{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := head.Check(buffered); err != nil {
+		return nil, false, err
+	}
+	c.messages.head = head
+	parsed, err = http.ReadResponse(c.reader, &c.request)
+	// The parser takes what it has read of a line for the whole line when a read fails.
+	if invalid := head.Check(nil); invalid != nil {
+		return nil, false, invalid
+	}
+	if err == nil && head.Completed() == 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return parsed, false, err
+}
+
 // noEOF returns an error that says that a message has ended early instead of io.EOF.
 func noEOF(err error) error {
 	if err == io.EOF {
--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
 // endless returns a script that sends a head and then a part again and again until the
@@ -26,6 +28,9 @@
 	}
 }
 
+// errNoResponse is the error of bytes that begin with no status line.
+var errNoResponse = (&responsecheck.Head{}).Check([]byte{0})
+
 // Guards against an endless response that fills the memory, or is read until the deadline.
 func TestEndlessResponseIsGivenUp(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
@@ -35,7 +40,7 @@
 		want error
 	}{
 		"status line":      {"HTTP/1.1 200 ", "O", errHeaderTooLarge},
-		"no response":      {"", "\x00", errHeaderTooLarge},
+		"no response":      {"", "\x00", errNoResponse},
 		"header line":      {ok + "X-A: ", "a", errHeaderTooLarge},
 		"header lines":     {ok, "X-A: a\r\n", errHeaderTooLarge},
 		"interim":          {"", "HTTP/1.1 103 Early Hints\r\n\r\n", errHeaderTooLarge},
--- a/internal/h1/messagereader.go
+++ b/internal/h1/messagereader.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"math"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
 const (
@@ -28,6 +30,8 @@
 	// account, unless nil, reserves the memory of the header beyond its first block.
 	account  *byteAccount
 	reserved int64
+	// head, unless nil, checks what is read for a header.
+	head *responsecheck.Head
 	// refused is set once the account did not allow the header to grow. The parser may report
 	// another error then, since it takes what it has read of a line for the whole line.
 	refused bool
@@ -36,12 +40,12 @@
 // startHeader bounds the next header, with all that precedes it, to limit bytes and to
 // maxHeaderLines.
 func (r *messageReader) startHeader(limit int64) {
-	r.left, r.inHeader, r.lines, r.blocks = limit, true, 0, 0
+	r.left, r.inHeader, r.lines, r.blocks, r.head = limit, true, 0, 0, nil
 }
 
 // startBody ends the bounds of the header. The reader of the body has its own.
 func (r *messageReader) startBody() {
-	r.left, r.inHeader = math.MaxInt64, false
+	r.left, r.inHeader, r.head = math.MaxInt64, false, nil
 }
 
 // exceeded reports whether the current header has reached its bound.
@@ -50,7 +54,7 @@
 }
 
 // Read implements io.Reader. It fails with errBufferLimit if the account does not allow the header
-// to grow.
+// to grow, and with the error of head.
 func (r *messageReader) Read(p []byte) (int, error) {
 	if r.inHeader && r.lines > maxHeaderLines {
 		r.left = 0
@@ -67,6 +71,11 @@
 		r.refused = true
 		return 0, errBufferLimit
 	}
+	if r.head != nil {
+		if invalid := r.head.Check(p[:n]); invalid != nil {
+			return 0, invalid
+		}
+	}
 	return n, err
 }
 
--- a/internal/h1/plain.go
+++ b/internal/h1/plain.go
@@ -160,20 +160,19 @@
 	return nil, false
 }
 
-// readResponseHeader reads the header of a response as http.ReadResponse does. plain is true if the response
-// has no field that applies to its connection only.
-func readResponseHeader(b *bufio.Reader, r *http.Request) (response *http.Response, plain bool, err error) {
+// readPlainResponse reads the header of a response if all of it is buffered and it is plain. plain is true if
+// the response has no field that applies to its connection only.
+func readPlainResponse(b *bufio.Reader, method string) (response *http.Response, plain, ok bool) {
 	h, ok := readPlainHeader(b)
 	if ok {
-		response, ok = h.response(r.Method)
+		response, ok = h.response(method)
 	}
 	if !ok {
-		response, err = http.ReadResponse(b, r)
-		return response, false, err
+		return nil, false, false
 	}
 	_, _ = b.Discard(h.size)
 	response.Body = h.body(b)
-	return response, !h.connection, nil
+	return response, !h.connection, true
 }
 
 // response returns the response to a request without its body, or false if the message is no plain
--- a/internal/h1/plain_test.go
+++ b/internal/h1/plain_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"reflect"
 	"strings"
 	"testing"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
 // Guards against a request that is read otherwise than net/http reads it.
@@ -41,7 +44,8 @@
 	})
 }
 
-// Guards against a response that is read otherwise than net/http reads it.
+// Guards against a response that is read otherwise than net/http reads it, or although its header is
+// not valid.
 func FuzzPlainResponse(f *testing.F) {
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
@@ -55,10 +59,23 @@
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		request := &http.Request{Method: http.MethodGet}
-		buffered := bufio.NewReader(strings.NewReader(text))
-		_, _ = buffered.Peek(1)
-		got, gotPlain, gotErr := readResponseHeader(buffered, request)
-		want, wantErr := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), request)
+		near, far := net.Pipe()
+		defer near.Close()
+		go func() {
+			_, _ = io.WriteString(far, text)
+			_ = far.Close()
+		}()
+		c := newClientConn(NewPool(PoolConfig{}), near)
+		c.request.Method = request.Method
+		c.messages.startHeader(maxResponseHeaderBytes)
+		_, _ = c.reader.Peek(1)
+		got, gotPlain, gotErr := c.parseHeader()
+		var head responsecheck.Head
+		wantErr := head.Check([]byte(text))
+		want, parseErr := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), request)
+		if wantErr == nil {
+			wantErr = parseErr
+		}
 		if (gotErr == nil) != (wantErr == nil) {
 			t.Fatalf("error %v, want %v", gotErr, wantErr)
 		}
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/mustardwing/mustardwing/internal/admission"
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/h1"
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 	"github.com/mustardwing/mustardwing/internal/routing"
 	"github.com/mustardwing/mustardwing/internal/settings"
@@ -429,7 +430,10 @@
 		return outcome{Code: resultcode.UpstreamUnreachable, Execution: resultcode.NotRun, Detail: err.Error()}
 	}
 	code := resultcode.ConnectionLost
-	if failure.DeadlineExceeded() {
+	switch {
+	case errors.As(err, &responsecheck.Error{}):
+		code = resultcode.AnswerMismatch
+	case failure.DeadlineExceeded():
 		code = resultcode.DeadlineExceeded
 	}
 	return outcome{Code: code, Execution: resultcode.Unknown, Reached: true, Detail: err.Error()}
--- a/internal/peer/execution.go
+++ b/internal/peer/execution.go
@@ -7,6 +7,7 @@
 	"github.com/mustardwing/mustardwing/internal/admission"
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/relay"
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 	"github.com/mustardwing/mustardwing/internal/upstream"
 )
@@ -126,7 +127,7 @@
 // truncated response for a complete one.
 func (e *execution) relayBody(w http.ResponseWriter, response *http.Response) {
 	_, readErr, writeErr := relay.Copy(w, response.Body, relay.FlushNeeded(response.ContentLength))
-	if readErr != nil || writeErr != nil {
+	if readErr != nil || writeErr != nil || responsecheck.FieldNames(response.Trailer) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	relay.CopyTrailer(w, response.Trailer)
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/dghubble/sling"
 	"github.com/pkg/errors"
 
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
@@ -19,12 +20,12 @@
 const maxIdleConnections = 4
 
 // newTransport returns a transport; timeout bounds the time to open a connection.
-func newTransport(timeout time.Duration) *http.Transport {
-	return &http.Transport{
+func newTransport(timeout time.Duration) http.RoundTripper {
+	return responsecheck.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
-	}
+	})
 }
 
 // do makes one call, bounded by timeout, and decodes a body of status 200 or 409 into
--- /dev/null
+++ b/internal/platform/invalid_response_test.go
@@ -0,0 +1,30 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mustardwing/mustardwing/internal/platform"
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
+	"github.com/mustardwing/mustardwing/internal/responsecheck/responsechecktest"
+	"github.com/mustardwing/mustardwing/internal/resultcode"
+)
+
+// Guards against a write that counts as executed because of a response that is not valid.
+func TestInvalidResponseOfTheStoreIsNotBelieved(t *testing.T) {
+	for _, r := range responsechecktest.InvalidFields() {
+		c := platform.NewClient(platform.ClientConfig{URL: "http://" + responsechecktest.Serve(t, r.Bytes)})
+		err := c.Delete(context.Background(), "settings/a", 1)
+		assert.Equal(t, resultcode.From(err).Code, resultcode.PlatformUnavailable, "%s: %v", r.Name, err)
+		assert.Equal(t, resultcode.From(err).Execution, resultcode.Unknown, r.Name)
+		assert.Assert(t, errors.As(err, &responsecheck.Error{}), "%s: %v", r.Name, err)
+	}
+	for _, r := range responsechecktest.Valid() {
+		c := platform.NewClient(platform.ClientConfig{URL: "http://" + responsechecktest.Serve(t, r.Bytes)})
+		err := c.Delete(context.Background(), "settings/a", 1)
+		assert.Assert(t, !errors.As(err, &responsecheck.Error{}), "%s: %v", r.Name, err)
+	}
+}
--- a/internal/responsecheck/joined.go
+++ b/internal/responsecheck/joined.go
@@ -1,17 +1,10 @@
-// Package responsecheck recognizes responses whose header cannot have come whole from the upstream.
-// Both daemons use it before they believe a response.
 package responsecheck
 
 import (
 	"net/http"
 	"strings"
-
-	"github.com/pkg/errors"
 )
 
-// ErrJoined reports a header in which the beginning of another response is followed by a whole one.
-var ErrJoined = errors.New("header contains the status line of another response")
-
 // versionPrefix begins the status line of every response over HTTP/1; statusLineBytes is the length
 // of one up to the status code.
 const (
@@ -19,18 +12,18 @@
 	statusLineBytes = len("HTTP/1.1 200")
 )
 
-// Joined returns an error that wraps ErrJoined if a status line stands in the reason phrase or in a
+// Joined returns an Error if a status line stands in the reason phrase or in a
 // header value. An upstream that sends the beginning of an earlier response once more leaves one
 // there: the parser takes both for one header, with the status and the first fields of the earlier
 // one. A status line at any other place is no valid header.
 func Joined(status string, h http.Header) error {
 	if containsStatusLine(status) {
-		return errors.Wrapf(ErrJoined, "status %.64q", status)
+		return Error{Reason: JoinedHeaders, Detail: "status line of another response in the reason phrase"}
 	}
 	for name, values := range h {
 		for _, value := range values {
 			if len(value) >= statusLineBytes && containsStatusLine(value) {
-				return errors.Wrapf(ErrJoined, "field %s", name)
+				return Error{Reason: JoinedHeaders, Detail: "status line of another response in the value of " + name}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/responsecheck/parsed.go
@@ -0,0 +1,31 @@
+package responsecheck
+
+import "net/http"
+
+// Parsed returns an Error for the parsed header of a response that cannot be one of a whole and valid
+// response. A Head finds more in its bytes.
+func Parsed(r *http.Response) error {
+	if err := FieldNames(r.Header); err != nil {
+		return err
+	}
+	return Joined(r.Status, r.Header)
+}
+
+// FieldNames returns an Error if a field of a header or a trailer has no valid name.
+func FieldNames(h http.Header) error {
+	for name := range h {
+		if !isName(name) {
+			return Error{Reason: FieldName, Detail: "field name that is no token"}
+		}
+	}
+	return nil
+}
+
+func isName(name string) bool {
+	for i := range len(name) {
+		if !isNameByte(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
--- a/internal/resultcode/table.go
+++ b/internal/resultcode/table.go
@@ -52,7 +52,7 @@
 
 	{ConnectionLost, "connection_lost", "The connection was lost after the request was sent.", http.StatusBadGateway, Unknown, false, 1},
 	{DeadlineExceeded, "deadline_exceeded", "The time ran out after the request was sent.", http.StatusGatewayTimeout, Unknown, false, 1},
-	{AnswerMismatch, "answer_mismatch", "An answer carried another request's id and was dropped.", http.StatusBadGateway, Unknown, false, 1},
+	{AnswerMismatch, "answer_mismatch", "A response was dropped: it is not valid, or belongs to another request.", http.StatusBadGateway, Unknown, false, 1},
 	{KeyUnknown, "key_unknown", "An earlier attempt with this key ended without a known outcome.", http.StatusConflict, Unknown, false, 1},
 	{RequestInterrupted, "request_interrupted", "The request body ended early or exceeded its limit after part of it was sent.", http.StatusBadGateway, Unknown, false, 1},
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -21,6 +21,8 @@
 	// replayBlocked is set once the transport has chosen another connection after part of
 	// the request was written. Nothing more is written then.
 	replayBlocked bool
+	// invalid is the error of a response that is not valid, nil if there is none.
+	invalid error
 }
 
 // bind records the connection that the transport has chosen. It is called before
@@ -33,6 +35,7 @@
 	}
 	a.mu.Unlock()
 	c.currentAttempt.Store(a)
+	c.ExpectResponse()
 }
 
 // mayWrite reports whether the request may be written to c: c is the connection that the
@@ -49,9 +52,16 @@
 	a.written += int64(n)
 }
 
-// outcome returns the number of bytes written and whether a replay was blocked.
-func (a *attempt) outcome() (written int64, replayBlocked bool) {
+func (a *attempt) noteInvalid(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.written, a.replayBlocked
+	a.invalid = err
+}
+
+// outcome returns the number of bytes written, whether a replay was blocked, and the error of a
+// response that is not valid.
+func (a *attempt) outcome() (written int64, replayBlocked bool, invalid error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.written, a.replayBlocked, a.invalid
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,11 +5,15 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
-// conn counts the bytes written for the attempt that uses it.
+// conn counts the bytes written for the attempt that uses it and checks the response to it.
 type conn struct {
-	net.Conn
+	*responsecheck.Conn
 	pool *connPool
 	// currentAttempt is the attempt that uses the connection or used it last, nil before
 	// the first one.
@@ -17,6 +21,16 @@
 	closeOnce      sync.Once
 }
 
+// Read implements net.Conn. It tells the current attempt of a response that is not valid, since the
+// transport may report another error when it cannot send the request again.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if a := c.currentAttempt.Load(); a != nil && err != nil && errors.As(err, &responsecheck.Error{}) {
+		a.noteInvalid(err)
+	}
+	return n, err
+}
+
 // Write implements net.Conn. It fails with errReplay, without writing, if part of the
 // current attempt was already written to another connection, so that http.Transport does
 // not send the request a second time, or if the transport has since chosen another
@@ -46,7 +60,7 @@
 // alive reports whether an idle connection is open, that is, has neither data nor
 // end of file to read.
 func (c *conn) alive() bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Conn.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/connpool.go
+++ b/internal/upstream/connpool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
 const (
@@ -167,7 +169,7 @@
 		}
 		return nil, err
 	}
-	return &conn{Conn: raw, pool: p}, nil
+	return &conn{Conn: responsecheck.NewConn(raw), pool: p}, nil
 }
 
 // keepWarm keeps at least as many connections open as the upstream has slots, until ctx
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -86,10 +86,13 @@
 
 // classify returns the result of an attempt that got no response.
 func (u *Upstream) classify(ctx context.Context, a *attempt, body *requestBody, err error) *resultcode.Error {
-	written, replayBlocked := a.outcome()
+	written, replayBlocked, invalid := a.outcome()
 	if replayBlocked {
 		u.blockedReplays.Inc(1)
 	}
+	if invalid != nil {
+		return resultcode.Wrap(invalid, resultcode.AnswerMismatch, "response of the upstream")
+	}
 	if written > 0 {
 		return classifyWritten(ctx, body, err)
 	}
@@ -121,7 +124,7 @@
 // cannot be detected.
 func (u *Upstream) checkResponse(m call.Metadata, state State, response *http.Response) *resultcode.Error {
 	h := response.Header
-	if err := responsecheck.Joined(response.Status, h); err != nil {
+	if err := responsecheck.Parsed(response); err != nil {
 		return resultcode.Wrap(err, resultcode.AnswerMismatch, "response of the upstream")
 	}
 	if !echoes(h, call.HeaderRequestID, m.RequestID.String()) || !echoes(h, call.HeaderAttempt, m.Attempt.String()) {
