internal/responsecheck: a status that is none ends the call

Callers of mustardwingd got a response with status 000 (also 001, 099, 600 and 999), and such a status counted as the declared rejection of a call that had run. In mustardwing-node a status below 200 counted as an interim one: a 000 or a 101 was skipped, so that the call waited for its timeout, or the 200 behind it was returned. Both returned 600 and 999. The platform's store was believed to have executed a write if its status was below 300, also 000.

Cause: net/http accepts any three digits, even a sign before two, and each reader compared the number in its own way, with "below 200" for an interim response and "below 300" for a success.

Change: responsecheck.Status has the range of RFC 9110, 100 to 599, without 101, since no request asks for another protocol; FinalStatus is from 200. Head applies it to each header, interim ones included, which covers all readers of HTTP/1; the parser of plain headers and responses between nodes over HTTP/2 use FinalStatus. The outcome is unknown (code 303), and the connection is closed. The separate check for 101 in internal/upstream is gone, since no response with that status gets there.

--- a/internal/h1/plain.go
+++ b/internal/h1/plain.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
 // A plain message is one of the usual form, whose header has been received whole: its lines end with
@@ -183,7 +185,7 @@
 		return nil, false
 	}
 	code, err := strconv.Atoi(status[:3])
-	if err != nil || code < http.StatusOK || code == http.StatusNoContent || code == http.StatusNotModified {
+	if err != nil || responsecheck.FinalStatus(code) != nil || code == http.StatusNoContent || code == http.StatusNotModified {
 		return nil, false
 	}
 	return &http.Response{
--- a/internal/peer/response.go
+++ b/internal/peer/response.go
@@ -9,6 +9,7 @@
 	"github.com/mustardwing/mustardwing/internal/admission"
 	"github.com/mustardwing/mustardwing/internal/call"
 	"github.com/mustardwing/mustardwing/internal/relay"
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
 
@@ -42,8 +43,8 @@
 }
 
 // newResponse returns the response of an attempt. cancel ends the attempt and is called
-// by Close. newResponse fails with AnswerMismatch when the response belongs to another
-// attempt.
+// by Close. newResponse fails with AnswerMismatch when the response is not valid or belongs to
+// another attempt.
 func newResponse(m call.Metadata, raw *http.Response, cancel func()) (*Response, *resultcode.Error) {
 	r := &Response{
 		Status:        raw.StatusCode,
@@ -54,6 +55,10 @@
 		raw:           raw,
 		cancel:        cancel,
 	}
+	if err := responsecheck.FinalStatus(raw.StatusCode); err != nil {
+		r.Close()
+		return nil, resultcode.Wrap(err, resultcode.AnswerMismatch, "response of the node")
+	}
 	if raw.Header.Get(call.HeaderRequestID) != m.RequestID.String() || raw.Header.Get(call.HeaderAttempt) != m.Attempt.String() {
 		r.Close()
 		return nil, resultcode.New(resultcode.AnswerMismatch, "response has request id %q and attempt %q: want %s and %s",
--- a/internal/responsecheck/error.go
+++ b/internal/responsecheck/error.go
@@ -10,6 +10,8 @@
 const (
 	// StatusLine is a status line of another form, or of another version than HTTP/1.
 	StatusLine Reason = "status_line"
+	// InvalidStatus is a status that a response cannot have; see Status.
+	InvalidStatus Reason = "status"
 	// FieldName is a line that does not begin with a field name, also a folded one.
 	FieldName Reason = "field_name"
 	// FieldValue is a control byte in a field value.
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -1,6 +1,9 @@
 package responsecheck
 
-import "strings"
+import (
+	"net/http"
+	"strings"
+)
 
 // Head checks the bytes of a response over HTTP/1 from its status line to the end of its header, as they
 // arrive. It is stricter than the parser of net/http, which also accepts what other
@@ -103,6 +106,9 @@
 		h.status = h.status*10 + int(b-'0')
 	}
 	h.position++
+	if h.position == len(statusLineForm) {
+		return Status(h.status)
+	}
 	return nil
 }
 
@@ -136,7 +142,7 @@
 // end ends a header.
 func (h *Head) end() error {
 	h.completed++
-	if h.status < 200 {
+	if h.status < http.StatusOK {
 		*h = Head{name: h.name, completed: h.completed}
 		return nil
 	}
--- a/internal/responsecheck/parsed.go
+++ b/internal/responsecheck/parsed.go
@@ -5,6 +5,9 @@
 // Parsed returns an Error for the parsed header of a response that cannot be one of a whole and valid
 // response. A Head finds more in its bytes.
 func Parsed(r *http.Response) error {
+	if err := FinalStatus(r.StatusCode); err != nil {
+		return err
+	}
 	if err := FieldNames(r.Header); err != nil {
 		return err
 	}
--- a/internal/responsecheck/responsechecktest/headers.go
+++ b/internal/responsecheck/responsechecktest/headers.go
@@ -49,6 +49,24 @@
 	return responses
 }
 
+// InvalidStatuses returns responses with a status that no final response over HTTP/1 without a change of
+// protocol has, and responses behind an interim one with such a status.
+func InvalidStatuses() []Response {
+	var responses []Response
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		responses = append(responses,
+			respond("status "+status, "HTTP/1.1 "+status+" x", ""),
+			respond("status "+status+" in chunks", "HTTP/1.1 "+status+" x", "Transfer-Encoding: chunked\r\nX-Length: 4\r\n"),
+			Response{Name: "status " + status + " without a body", Bytes: "HTTP/1.1 " + status + " x\r\n" + Identity + "Content-Length: 0\r\n\r\n"},
+			respond("interim status "+status, "HTTP/1.1 "+status+" x\r\n\r\nHTTP/1.1 200 OK", ""),
+		)
+	}
+	for _, status := range []string{"+20", "-20", "20", "2 0", "2000", "0x1", " 200"} {
+		responses = append(responses, respond("status "+status, "HTTP/1.1 "+status+" x", ""))
+	}
+	return responses
+}
+
 // Valid returns responses that are valid, of the forms that few upstreams use.
 func Valid() []Response {
 	return []Response{
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -131,9 +131,6 @@
 		return resultcode.New(resultcode.AnswerMismatch, "response has request id %q and attempt %q: want %s and %s",
 			h.Get(call.HeaderRequestID), h.Get(call.HeaderAttempt), m.RequestID, m.Attempt)
 	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return resultcode.New(resultcode.AnswerMismatch, "response has status 101: want no change of protocol")
-	}
 	if state.RefusesBeforeWork && h.Get(call.HeaderRefusedAttempt) == m.Attempt.String() {
 		return resultcode.New(resultcode.UpstreamRefused, "the upstream rejected the call with status %d before any work", response.StatusCode)
 	}
