internal/responsecheck: a response that states its end in two ways is not used

Cause: as for invalid fields, net/http's reading was taken over. It ignores Transfer-Encoding over HTTP/1.0, and a length beside chunks. RFC 9112 calls the first faulty framing and the second an error.

Change: responsecheck.Head also follows Content-Length and Transfer-Encoding: a length is a number, chunked is the only encoding, each is stated in one way, and chunks come over HTTP/1.1 without a length. The same length twice and later versions of HTTP/1 remain valid.

--- a/internal/h1/invalid_header_test.go
+++ b/internal/h1/invalid_header_test.go
@@ -36,7 +36,7 @@
 // Guards against a response whose header is not valid and that is returned, with a line that another
 // parser reads otherwise or with another body than the upstream sent.
 func TestInvalidHeaderIsNoResponse(t *testing.T) {
-	for _, r := range append(responsechecktest.InvalidFields(), responsechecktest.InvalidStatuses()...) {
+	for _, r := range responsechecktest.Invalid() {
 		response, err := receiveBytes(strings.ReplaceAll(r.Bytes, responsechecktest.Identity, "X-Id: 1\r\n"))
 		var failure *SendError
 		assert.Assert(t, errors.As(err, &failure) && failure.Sent && !failure.DeadlineExceeded(), "%s: %+v, %v", r.Name, response, err)
--- a/internal/h1/plain_test.go
+++ b/internal/h1/plain_test.go
@@ -53,6 +53,9 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
 		"HTTP/1.1 204 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n\r\nok", "HTTP/1.1 +20 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200  OK\r\nContent-Length: 5\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 02\r\n\r\nok", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nX : 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\nX: 1\r\n\r\n", "HTTP/1.1 000 x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nPragma: no-cache\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 999 x\r\nX_y: a\tb\r\nContent-Length: 0\r\n\r\n",
 	} {
 		f.Add(text)
--- a/internal/platform/invalid_response_test.go
+++ b/internal/platform/invalid_response_test.go
@@ -15,7 +15,7 @@
 
 // Guards against a write that counts as executed because of a response that is not valid.
 func TestInvalidResponseOfTheStoreIsNotBelieved(t *testing.T) {
-	for _, r := range append(responsechecktest.InvalidFields(), responsechecktest.InvalidStatuses()...) {
+	for _, r := range responsechecktest.Invalid() {
 		c := platform.NewClient(platform.ClientConfig{URL: "http://" + responsechecktest.Serve(t, r.Bytes)})
 		err := c.Delete(context.Background(), "settings/a", 1)
 		assert.Equal(t, resultcode.From(err).Code, resultcode.PlatformUnavailable, "%s: %v", r.Name, err)
--- a/internal/responsecheck/error.go
+++ b/internal/responsecheck/error.go
@@ -16,6 +16,8 @@
 	FieldName Reason = "field_name"
 	// FieldValue is a control byte in a field value.
 	FieldValue Reason = "field_value"
+	// Framing is a header that does not tell where the body ends, or tells it in two ways.
+	Framing Reason = "framing"
 	// LineEnd is a CR without LF.
 	LineEnd Reason = "line_end"
 	// JoinedHeaders is a header in which another response begins.
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -14,7 +14,9 @@
 	// position is the position within the status line.
 	position int
 	status   int
+	http10   bool
 	name     []byte
+	framing  framing
 	// completed counts the headers that have ended, those of interim responses included.
 	completed int
 	failure   error
@@ -36,8 +38,11 @@
 // statusLineForm is the form of a status line up to the status; 0 stands for a digit.
 const statusLineForm = "HTTP/1.0 000"
 
-// statusPosition is the position of the status in statusLineForm.
-const statusPosition = len("HTTP/1.0 ")
+// minorVersionPosition and statusPosition are positions in statusLineForm.
+const (
+	minorVersionPosition = len("HTTP/1.")
+	statusPosition       = len("HTTP/1.0 ")
+)
 
 // Completed returns the number of headers that have ended, those of interim responses included.
 func (h *Head) Completed() int {
@@ -61,8 +66,10 @@
 	switch h.state {
 	case inStatusLine:
 		return h.nextOfStatusLine(b)
-	case inReason, inValue:
-		return h.nextOfText(b)
+	case inReason:
+		return h.nextOfReason(b)
+	case inValue:
+		return h.nextOfValue(b)
 	case inLineEnd:
 		if b != '\n' {
 			return Error{Reason: LineEnd, Detail: "CR without LF"}
@@ -102,7 +109,10 @@
 	if want == '0' && !isDigit(b) || want != '0' && b != want {
 		return Error{Reason: StatusLine, Detail: "want HTTP/1 and a status of three digits"}
 	}
-	if h.position >= statusPosition {
+	switch {
+	case h.position == minorVersionPosition:
+		h.http10 = b == '0'
+	case h.position >= statusPosition:
 		h.status = h.status*10 + int(b-'0')
 	}
 	h.position++
@@ -112,25 +122,35 @@
 	return nil
 }
 
-// nextOfText checks a byte of a field value or of the reason phrase.
-func (h *Head) nextOfText(b byte) error {
-	if b == '\r' {
+// nextOfReason checks a byte of the reason phrase.
+func (h *Head) nextOfReason(b byte) error {
+	switch {
+	case b == '\r':
 		h.state = inLineEnd
-		return nil
-	}
-	if isTextByte(b) {
-		return nil
-	}
-	if h.state == inReason {
+	case !isTextByte(b):
 		return Error{Reason: StatusLine, Detail: "control byte in the reason phrase"}
 	}
-	return Error{Reason: FieldValue, Detail: "control byte in the value of " + h.fieldName()}
+	return nil
+}
+
+// nextOfValue checks a byte of a field value.
+func (h *Head) nextOfValue(b byte) error {
+	switch {
+	case b == '\r':
+		h.state = inLineEnd
+		return h.framing.endField()
+	case !isTextByte(b):
+		return Error{Reason: FieldValue, Detail: "control byte in the value of " + h.fieldName()}
+	}
+	h.framing.addByte(b)
+	return nil
 }
 
 func (h *Head) nextOfName(b byte) error {
 	switch {
 	case b == ':' && len(h.name) > 0:
 		h.state = inValue
+		h.framing.startField(h.name)
 	case !isNameByte(b):
 		return Error{Reason: FieldName, Detail: "field name with a byte that is none of a token, behind " + h.fieldName()}
 	case len(h.name) < maxNameBytes:
@@ -141,6 +161,9 @@
 
 // end ends a header.
 func (h *Head) end() error {
+	if err := h.framing.check(h.http10); err != nil {
+		return err
+	}
 	h.completed++
 	if h.status < http.StatusOK {
 		*h = Head{name: h.name, completed: h.completed}
--- a/internal/responsecheck/head_test.go
+++ b/internal/responsecheck/head_test.go
@@ -26,7 +26,7 @@
 // that is refused.
 func TestHeadIsCheckedHoweverItArrives(t *testing.T) {
 	for _, partBytes := range []int{1, 2, 7, 1 << 10} {
-		for _, r := range append(responsechecktest.InvalidFields(), responsechecktest.InvalidStatuses()...) {
+		for _, r := range responsechecktest.Invalid() {
 			head, err := check(r.Bytes, partBytes)
 			assert.Assert(t, err != nil, "%s: %q", r.Name, r.Bytes)
 			assert.Equal(t, head.Check([]byte("HTTP/1.1 200 OK\r\n\r\n")), err)
--- a/internal/responsecheck/responsechecktest/headers.go
+++ b/internal/responsecheck/responsechecktest/headers.go
@@ -1,7 +1,10 @@
 // Package responsechecktest provides responses to the tests of all that reads responses.
 package responsechecktest
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Response is a response with the body "body", as its bytes.
 type Response struct {
@@ -23,6 +26,11 @@
 
 const statusLine200 = "HTTP/1.1 200 OK"
 
+// Invalid returns all responses that are not valid.
+func Invalid() []Response {
+	return slices.Concat(InvalidFields(), InvalidStatuses(), InvalidLengths())
+}
+
 // InvalidFields returns responses with a header that is not valid because of a field.
 func InvalidFields() []Response {
 	responses := []Response{
@@ -67,6 +75,33 @@
 	return responses
 }
 
+// InvalidLengths returns responses of whose body receivers may make different lengths.
+func InvalidLengths() []Response {
+	const chunked = "Transfer-Encoding: chunked\r\nX-Length: 4\r\n"
+	responses := []Response{
+		respond("chunks over HTTP/1.0", "HTTP/1.0 200 OK", chunked),
+		respond("length and chunks", statusLine200, chunked+"Content-Length: 4\r\n"),
+		respond("chunks and length", statusLine200, "Content-Length: 4\r\n"+chunked),
+		respond("two lengths", statusLine200, "Content-Length: 4\r\nContent-Length: 3\r\n"),
+		respond("chunks twice", statusLine200, chunked+chunked),
+	}
+	for _, value := range []string{"", "+4", "-4", "4 4", "0x4", "4, 4", "4;", "99999999999999999999"} {
+		responses = append(responses, respond("length "+value, statusLine200, "Content-Length: "+value+"\r\n"))
+	}
+	for _, value := range []string{"", "identity", "gzip", "gzip, chunked", "chunked, chunked", "chunked;a", "xchunked"} {
+		responses = append(responses, respond("encoding "+value, statusLine200, "Transfer-Encoding: "+value+"\r\nX-Length: 4\r\n"))
+	}
+	for i := range responses {
+		responses[i].Bytes = strings.TrimSuffix(responses[i].Bytes, "body")
+		if strings.Contains(responses[i].Bytes, "chunked") {
+			responses[i].Bytes += "4\r\nbody\r\n0\r\n\r\n"
+		} else {
+			responses[i].Bytes += "body"
+		}
+	}
+	return responses
+}
+
 // Valid returns responses that are valid, of the forms that few upstreams use.
 func Valid() []Response {
 	return []Response{
@@ -78,6 +113,8 @@
 		respond("no reason phrase", "HTTP/1.1 200", ""),
 		respond("bytes above ASCII in the reason phrase", "HTTP/1.1 200 \xc3\xa9", ""),
 		respond("HTTP/1.0", "HTTP/1.0 200 OK", ""),
+		respond("a later version of HTTP/1", "HTTP/1.2 200 OK", ""),
+		respond("the same length twice", statusLine200, "Content-Length: 4\r\nContent-Length: 4\r\n"),
 		respond("interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\nHTTP/1.1 200 OK", ""),
 		respond("unusual success", "HTTP/1.1 299 x", ""),
 		respond("unusual failure", "HTTP/1.1 599 x", ""),
--- a/internal/upstream/invalid_response_test.go
+++ b/internal/upstream/invalid_response_test.go
@@ -24,7 +24,7 @@
 		_, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, "body"))
 		return run, err
 	}
-	for _, r := range append(responsechecktest.InvalidFields(), responsechecktest.InvalidStatuses()...) {
+	for _, r := range responsechecktest.Invalid() {
 		run, err := send(r)
 		assert.Equal(t, resultcode.From(err).Code, resultcode.AnswerMismatch, "%s: %v", r.Name, err)
 		assert.Equal(t, run, resultcode.Unknown, r.Name)
