internal/responsecheck, internal/mesh, internal/upstream: unusable responses are logged and counted

A response that was not used left "connection lost" at the calling node and nothing at the upstream's, where alone the reason is known. Operators could not tell a faulty upstream from a lost connection.

Change: responsecheck.Reporter writes one line with the call's id, the upstream, the reason and a detail that quotes no byte of a value, and counts by reason (unusable_responses); both daemons use it.

--- a/internal/h1/bodywrite.go
+++ b/internal/h1/bodywrite.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 )
 
 // bodyWrite is a write of a request body that runs concurrently with the wait for the response.
@@ -36,15 +38,15 @@
 	}
 }
 
-// failure ends the write and returns its error if the connection had failed before a read reached the
-// end of the stream. The kernel reports such a failure to one system call only: when the write gets it,
-// the read gets an ordinary end of the stream, as if the remote end had closed the connection. EPIPE is
-// no such failure, since the kernel then received the orderly end first.
-func (w *bodyWrite) failure() error {
+// checkEnd ends the write once a read has reached the end of the stream. It returns an error if the
+// connection had failed by then. The kernel reports such a failure to one system call only: when the write
+// gets it, the read gets an ordinary end of the stream, as if the remote end had closed the connection.
+// EPIPE is no such failure, since the kernel then received the orderly end first.
+func (w *bodyWrite) checkEnd() error {
 	_ = w.conn.SetWriteDeadline(time.Unix(1, 0))
 	err := <-w.result
 	if err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil
 	}
-	return err
+	return responsecheck.Error{Reason: responsecheck.Incomplete, Detail: "response without a length before a failure of the connection: " + err.Error()}
 }
--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -82,7 +82,7 @@
 	}
 	response, err := c.receive(r)
 	if err == nil && c.closeDelimited && write != nil {
-		err = errors.Wrap(write.failure(), "response without a length")
+		err = write.checkEnd()
 	}
 	if err != nil {
 		return nil, &SendError{Sent: true, Cause: err}
@@ -149,7 +149,10 @@
 	if c.pool.config.CheckResponse == nil {
 		return nil
 	}
-	return c.pool.config.CheckResponse(r, &Response{Status: parsed.StatusCode, Header: parsed.Header})
+	if err := c.pool.config.CheckResponse(r, &Response{Status: parsed.StatusCode, Header: parsed.Header}); err != nil {
+		return responsecheck.Error{Reason: responsecheck.Contradiction, Detail: err.Error()}
+	}
+	return nil
 }
 
 // reportHeader passes the header of a response to OnResponseHeader.
--- a/internal/mesh/upstream.go
+++ b/internal/mesh/upstream.go
@@ -91,6 +91,7 @@
 	refusals  tally.Counter
 	responses tally.Counter
 	capacity  *capacityReport
+	unusable  responsecheck.Reporter
 
 	mu sync.Mutex
 	// current is the instance of the latest announcement, nil before the first one.
@@ -126,6 +127,7 @@
 		refusals:         config.Scope.Counter("upstream_refusals"),
 		responses:        config.Scope.Counter("upstream_runs"),
 		capacity:         newCapacityReport(config.Scope, config.Log),
+		unusable:         responsecheck.Reporter{Log: config.Log, Scope: config.Scope},
 	}
 }
 
@@ -353,6 +355,7 @@
 	c.rateLimit.countCall(p.Retry)
 	response, err := c.pool.Do(ctx, r, deadline)
 	if err != nil {
+		u.unusable.Report(err, p.ID, c.ID)
 		return nil, u.exchangeOutcome(c, err)
 	}
 	u.responses.Inc(1)
--- a/internal/responsecheck/error.go
+++ b/internal/responsecheck/error.go
@@ -22,6 +22,10 @@
 	LineEnd Reason = "line_end"
 	// JoinedHeaders is a header in which another response begins.
 	JoinedHeaders Reason = "joined_headers"
+	// Contradiction is a header whose fields contradict each other or the request.
+	Contradiction Reason = "contradiction"
+	// Incomplete is a body that may lack its end.
+	Incomplete Reason = "incomplete"
 )
 
 // Error reports a response that must not be used: it is malformed or not whole, so that what it states
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -35,10 +35,12 @@
 	response, err := pool.transport.RoundTrip(out)
 	if err != nil {
 		failure := u.classify(ctx, a, body, err)
+		u.unusable.Report(failure, m.RequestID.String(), state.Address)
 		return nil, failure.Execution, failure
 	}
 	if failure := u.checkResponse(m, state, response); failure != nil {
 		_ = response.Body.Close()
+		u.unusable.Report(failure, m.RequestID.String(), state.Address)
 		return nil, failure.Execution, failure
 	}
 	call.StripReserved(response.Header)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/mustardwing/mustardwing/internal/admission"
+	"github.com/mustardwing/mustardwing/internal/responsecheck"
 	"github.com/mustardwing/mustardwing/internal/settings"
 )
 
@@ -42,6 +43,7 @@
 	// attempts that net/http's Transport wanted to send a second time.
 	dialFailures   tally.Counter
 	blockedReplays tally.Counter
+	unusable       responsecheck.Reporter
 
 	mu    sync.Mutex
 	state State
@@ -67,6 +69,7 @@
 		admission:      admission.New(admission.Config{Disabled: config.Baseline}),
 		dialFailures:   config.Scope.Counter("upstream_unreachable"),
 		blockedReplays: config.Scope.Counter("upstream_replays_blocked"),
+		unusable:       responsecheck.Reporter{Log: config.Logger, Scope: config.Scope},
 	}
 }
 
