internal/h1: a connection that lingers does not wait for the response that is being written

Cause, by the stacks of that run: after the last request the goroutine that reads a connection asked for the lock under which the response is written. If the write has begun by then, it waits for its end, and a wait for a lock stops the clock of a synctest bubble, on which the test's slow reader depends. Outside tests the connection neither discards input nor notices a disconnect until the response is written.

Change: whether a connection closes is read without the lock. It is still set under it, before the deadline that ends the read, so that the reader cannot miss both. A request that arrives meanwhile is dispatched under the lock as before and counts as not read.

Evidence: TestLingerDoesNotWaitForTheResponse fixes the order of write and linger; it hung with the same stack before (15 s, one run) and passes 20 of 20 runs now.

--- a/internal/h1/serverconn.go
+++ b/internal/h1/serverconn.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,8 +65,9 @@
 	queue        []*exchange
 	queueNotFull *sync.Cond
 	// closing is set once no further response is written: the last one was, a write failed, or the
-	// connection was idle for too long.
-	closing bool
+	// connection was idle for too long. It is set with mu held and read without it, since mu is held
+	// while a response is written.
+	closing atomic.Bool
 	// lastResponse is when the latest response was written.
 	lastResponse time.Time
 }
@@ -138,9 +140,7 @@
 
 // isClosing reports whether no further response is written.
 func (c *serverConn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
+	return c.closing.Load()
 }
 
 // closeIdle closes a connection without a request in flight for writing, unless a response has
@@ -148,8 +148,8 @@
 func (c *serverConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closing {
-		c.closing = true
+	if !c.isClosing() {
+		c.closing.Store(true)
 		delivery.CloseWrite(c.conn)
 	}
 }
@@ -234,7 +234,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	deadline := c.idleStart(started).Add(timeout)
-	if c.closing {
+	if c.isClosing() {
 		deadline = time.Now()
 	}
 	_ = c.conn.SetReadDeadline(deadline)
@@ -245,7 +245,7 @@
 func (c *serverConn) idleFor(started time.Time, timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing || time.Since(c.idleStart(started)) >= timeout
+	return c.isClosing() || time.Since(c.idleStart(started)) >= timeout
 }
 
 // idleStart returns since when no request has been in flight: now if there is one, else the time of
@@ -277,10 +277,10 @@
 func (c *serverConn) dispatch(r *Request, last bool, reservation *bodyReservation) bool {
 	e := &exchange{method: r.Method, closing: last}
 	c.mu.Lock()
-	for len(c.queue) >= maxPipelined && !c.closing {
+	for len(c.queue) >= maxPipelined && !c.isClosing() {
 		c.queueNotFull.Wait()
 	}
-	if c.closing {
+	if c.isClosing() {
 		c.mu.Unlock()
 		reservation.release()
 		c.server.inFlight.Add(-1)
@@ -328,7 +328,7 @@
 
 // write sends the oldest response. It is called with mu held.
 func (c *serverConn) write(e *exchange) {
-	if c.closing {
+	if c.isClosing() {
 		return
 	}
 	lastQueued := len(c.queue) == 1
@@ -343,12 +343,12 @@
 		*buffer = make([]byte, 0, readBufferBytes)
 	}
 	if err != nil {
-		c.closing = true
+		c.closing.Store(true)
 		c.abort()
 		return
 	}
 	if closing {
-		c.closing = true
+		c.closing.Store(true)
 		delivery.CloseWrite(c.conn)
 		// The goroutine that reads the connection begins to linger.
 		_ = c.conn.SetReadDeadline(c.lastResponse)
@@ -379,7 +379,7 @@
 	c.server.log.Info().Str("error", describeReadError(err)).Str("from", c.remoteIP).Int("status", response.Status).Msg("request not read")
 	c.server.onUnread(response.Status)
 	c.mu.Lock()
-	if c.closing {
+	if c.isClosing() {
 		c.server.inFlight.Add(-1)
 	} else {
 		c.queue = append(c.queue, &exchange{closing: true, response: response})
