platform/standin, internal/delivery/deliverytest: faulty ends of connections, shared by their tests

The broken responses of a faulty upstream, the request whose response is read as bytes, and the connections that fix the order of a write and a read stood in the tests of three packages. The stand-in and deliverytest hold them now, so that other tests and the soak can use them.

--- a/internal/h1/delivery_test.go
+++ b/internal/h1/delivery_test.go
@@ -157,31 +157,12 @@
 	})
 }
 
-// writeBeforeLingerConn makes the last response be written before its connection begins to linger, when
-// the read deadline is lifted.
-type writeBeforeLingerConn struct {
-	net.Conn
-	writing chan struct{}
-}
-
-func (c *writeBeforeLingerConn) Write(p []byte) (int, error) {
-	close(c.writing)
-	return c.Conn.Write(p)
-}
-
-func (c *writeBeforeLingerConn) SetReadDeadline(deadline time.Time) error {
-	if deadline.IsZero() {
-		<-c.writing
-	}
-	return c.Conn.SetReadDeadline(deadline)
-}
-
 // Guards against a lingering connection that waits for the lock of a response that is being written, so
 // that it neither discards input nor detects a disconnect meanwhile.
 func TestLingerDoesNotWaitForTheResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller, accepted := net.Pipe()
-		conn := &writeBeforeLingerConn{Conn: accepted, writing: make(chan struct{})}
+		conn := deliverytest.NewWriteBeforeLingerConn(accepted)
 		server := NewServer(HandlerFunc(func(context.Context, *Request) *Response {
 			return textResponse(http.StatusOK, "x")
 		}), testLimits, zerolog.Nop())
--- a/internal/h1/reset_response_test.go
+++ b/internal/h1/reset_response_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/delivery"
+	"github.com/mustardwing/mustardwing/internal/delivery/deliverytest"
 )
 
 // longUpload returns a request whose body fills the buffers of a connection.
@@ -24,51 +24,13 @@
 	return r
 }
 
-// awaitPending waits until the write of the request has filled the buffers between both ends.
+// awaitPending reads the header of a request and waits until the write of its body has filled the buffers
+// between both ends.
 func awaitPending(r *bufio.Reader) {
-	readRequestHead(r)
+	_, _ = http.ReadRequest(r)
 	time.Sleep(50 * time.Millisecond)
 }
 
-func readRequestHead(r *bufio.Reader) {
-	for {
-		if line, err := r.ReadString('\n'); err != nil || line == "\r\n" {
-			return
-		}
-	}
-}
-
-// reset closes a connection without the end of its stream.
-func reset(c net.Conn) {
-	_ = c.(*net.TCPConn).SetLinger(0)
-	_ = c.Close()
-}
-
-// writeFirstConn lets a failed write learn of a reset before the read does: once it has read
-// something, it reads on only after a write has failed.
-type writeFirstConn struct {
-	net.Conn
-	read   bool
-	failed chan struct{}
-	once   sync.Once
-}
-
-func (c *writeFirstConn) Read(p []byte) (int, error) {
-	if c.read {
-		<-c.failed
-	}
-	c.read = true
-	return c.Conn.Read(p)
-}
-
-func (c *writeFirstConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.once.Do(func() { close(c.failed) })
-	}
-	return n, err
-}
-
 // Guards against the part of a response that came before a reset and that is returned as whole. The
 // kernel reports a reset once: a write that fails with it leaves an ordinary end of the stream to the
 // read.
@@ -82,12 +44,12 @@
 				awaitPending(r)
 				_, _ = io.WriteString(c, head+"part")
 				time.Sleep(50 * time.Millisecond)
-				reset(c)
+				deliverytest.Reset(c)
 			}))
 			conn, err := net.Dial("tcp", p.config.Address)
 			assert.NilError(t, err)
 			defer conn.Close()
-			c := newClientConn(p, &writeFirstConn{Conn: conn, failed: make(chan struct{})})
+			c := newClientConn(p, deliverytest.NewWriteFirstConn(conn))
 			_, err = c.exchange(t.Context(), longUpload(), time.Now().Add(testTimeout))
 			var failure *SendError
 			assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
@@ -102,7 +64,7 @@
 		p := testPool(t, scriptedServer(t, func(c net.Conn, r *bufio.Reader) {
 			awaitPending(r)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart")
-			reset(c)
+			deliverytest.Reset(c)
 		}))
 		response, err := do(p, longUpload())
 		assert.Assert(t, err != nil, "%+v", response)
@@ -112,30 +74,18 @@
 // Guards against a refusal of a whole response without a length that comes before the end of an
 // upload, from an upstream that reads on, that reads nothing more, or whose process has ended.
 func TestEarlyResponseWithOrderlyEndIsWhole(t *testing.T) {
-	const response = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole"
-	for name, script := range map[string]func(net.Conn, *bufio.Reader){
-		"reads on": func(c net.Conn, r *bufio.Reader) {
-			awaitPending(r)
-			_, _ = io.WriteString(c, response)
-			_ = c.(*net.TCPConn).CloseWrite()
-			_, _ = io.Copy(io.Discard, r)
-		},
-		"reads nothing": func(c net.Conn, r *bufio.Reader) {
-			awaitPending(r)
-			_, _ = io.WriteString(c, response)
-			_ = c.(*net.TCPConn).CloseWrite()
-			time.Sleep(time.Second)
-		},
-		"ends afterwards": func(c net.Conn, r *bufio.Reader) {
-			awaitPending(r)
-			_, _ = io.WriteString(c, response)
-			_ = c.(*net.TCPConn).CloseWrite()
-			time.Sleep(50 * time.Millisecond)
-			reset(c)
-		},
+	for name, after := range map[string]func(net.Conn, *bufio.Reader){
+		"reads on":        func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) },
+		"reads nothing":   func(net.Conn, *bufio.Reader) { time.Sleep(time.Second) },
+		"ends afterwards": func(c net.Conn, _ *bufio.Reader) { time.Sleep(50 * time.Millisecond); deliverytest.Reset(c) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := testPool(t, scriptedServer(t, script))
+			p := testPool(t, scriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+				awaitPending(r)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole")
+				_ = c.(*net.TCPConn).CloseWrite()
+				after(c, r)
+			}))
 			started := time.Now()
 			got, err := do(p, longUpload())
 			assert.NilError(t, err)
@@ -151,7 +101,7 @@
 	conn, err := net.Dial("tcp", scriptedServer(t, func(c net.Conn, r *bufio.Reader) {
 		_, _ = r.ReadByte()
 		_, _ = io.WriteString(c, "part")
-		reset(c)
+		deliverytest.Reset(c)
 	}))
 	assert.NilError(t, err)
 	defer conn.Close()
--- a/internal/peer/response_test.go
+++ b/internal/peer/response_test.go
@@ -16,11 +16,9 @@
 func TestInvalidStatusOfANodeIsNotBelieved(t *testing.T) {
 	m := call.Metadata{RequestID: uuid.Must(uuid.NewV7()), Attempt: uuid.New()}
 	for _, status := range []int{0, 99, 101, 103, 600} {
-		header := http.Header{}
-		header.Set(call.HeaderRequestID, m.RequestID.String())
-		header.Set(call.HeaderAttempt, m.Attempt.String())
-		header.Set(call.HeaderCode, "0")
-		header.Set(call.HeaderRun, "no")
+		header := http.Header{
+			call.HeaderRequestID: {m.RequestID.String()}, call.HeaderAttempt: {m.Attempt.String()}, call.HeaderCode: {"0"}, call.HeaderRun: {"no"},
+		}
 		_, failure := newResponse(m, &http.Response{StatusCode: status, Header: header, Body: http.NoBody}, func() {})
 		assert.Assert(t, failure != nil, status)
 		assert.Equal(t, failure.Code, resultcode.AnswerMismatch)
--- a/internal/platform/invalid_response_test.go
+++ b/internal/platform/invalid_response_test.go
@@ -1,7 +1,6 @@
 package platform_test
 
 import (
-	"context"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -17,14 +16,14 @@
 func TestInvalidResponseOfTheStoreIsNotBelieved(t *testing.T) {
 	for _, r := range responsechecktest.Invalid() {
 		c := platform.NewClient(platform.ClientConfig{URL: "http://" + responsechecktest.Serve(t, r.Bytes)})
-		err := c.Delete(context.Background(), "settings/a", 1)
+		err := c.Delete(t.Context(), "settings/a", 1)
 		assert.Equal(t, resultcode.From(err).Code, resultcode.PlatformUnavailable, "%s: %v", r.Name, err)
 		assert.Equal(t, resultcode.From(err).Execution, resultcode.Unknown, r.Name)
 		assert.Assert(t, errors.As(err, &responsecheck.Error{}), "%s: %v", r.Name, err)
 	}
 	for _, r := range responsechecktest.Valid() {
 		c := platform.NewClient(platform.ClientConfig{URL: "http://" + responsechecktest.Serve(t, r.Bytes)})
-		err := c.Delete(context.Background(), "settings/a", 1)
+		err := c.Delete(t.Context(), "settings/a", 1)
 		assert.Assert(t, !errors.As(err, &responsecheck.Error{}), "%s: %v", r.Name, err)
 	}
 }
--- a/internal/responsecheck/reporter_test.go
+++ b/internal/responsecheck/reporter_test.go
@@ -25,10 +25,9 @@
 		reporter.Report(errors.New("connection lost"), "2", "i-1")
 		assert.Equal(t, strings.Count(log.String(), "\n"), 1, "%s: %s", r.Name, log.String())
 		assert.Assert(t, log.Len() < 300 && !strings.Contains(log.String(), "body"), log.String())
-		var counted int64
 		for _, c := range scope.Snapshot().Counters() {
-			counted += c.Value()
+			assert.Equal(t, c.Value(), int64(1), r.Name)
 		}
-		assert.Equal(t, counted, int64(1), r.Name)
+		assert.Equal(t, len(scope.Snapshot().Counters()), 1)
 	}
 }
--- a/internal/upstream/invalid_response_test.go
+++ b/internal/upstream/invalid_response_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -21,7 +20,7 @@
 			attempt, _ := e.readRequest()
 			e.write(strings.ReplaceAll(r.Bytes, responsechecktest.Identity, call.HeaderRefusedAttempt+": "+attempt+"\r\n"))
 		}), true)
-		_, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, "body"))
+		_, run, err := u.Send(t.Context(), metadata(false), request(t, http.MethodPost, "body"))
 		return run, err
 	}
 	for _, r := range responsechecktest.Invalid() {
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/call"
+	"github.com/mustardwing/mustardwing/internal/delivery/deliverytest"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 	"github.com/mustardwing/mustardwing/internal/upstream"
 )
@@ -64,7 +64,7 @@
 				time.Sleep(20 * time.Millisecond)
 				e.write("HTTP/1.1 200 OK\r\n" + head + "\r\n4\r\npart")
 				time.Sleep(20 * time.Millisecond)
-				_ = e.Conn.(*net.TCPConn).SetLinger(0)
+				deliverytest.Reset(e.Conn)
 			}), false)
 			response, run, err := u.Send(context.Background(), metadata(false), request(t, http.MethodPost, strings.Repeat("x", 8<<20)))
 			if err != nil {
