internal/responsecheck: names and values are checked in spans, without allocations

The check of a header byte by byte took 1.4 to 2.0 µs (four pairs) and an allocation of each response that is not plain (in chunks, or with bytes above ASCII), above the 2 % of a forwarded call's 50 µs that it may cost.

Change: tables tell which bytes may stand in a name and in a text, spans of them are taken at once, and a connection keeps its Head from response to response. What is accepted is the same; only the texts of two errors differ. Names in errors are bounded also for joined headers.

FuzzPlainResponse ran 30 s without a finding.

--- a/internal/h1/clientconn.go
+++ b/internal/h1/clientconn.go
@@ -36,6 +36,8 @@
 	// messages bounds what is read, reader buffers it.
 	messages *messageReader
 	reader   *bufio.Reader
+	// head checks the headers that are not plain.
+	head responsecheck.Head
 	// request is what the parser has to know of the current request.
 	request http.Request
 	// failed holds the calls that got a response with an error status on this connection.
@@ -231,18 +233,18 @@
 	if parsed, plain, ok := readPlainResponse(c.reader, c.request.Method); ok {
 		return parsed, plain, nil
 	}
-	head := &responsecheck.Head{}
+	c.head.Reset()
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	if err := head.Check(buffered); err != nil {
+	if err := c.head.Check(buffered); err != nil {
 		return nil, false, err
 	}
-	c.messages.head = head
+	c.messages.head = &c.head
 	parsed, err = http.ReadResponse(c.reader, &c.request)
 	// The parser takes what it has read of a line for the whole line when a read fails.
-	if invalid := head.Check(nil); invalid != nil {
+	if invalid := c.head.Check(nil); invalid != nil {
 		return nil, false, invalid
 	}
-	if err == nil && head.Completed() == 0 {
+	if err == nil && c.head.Completed() == 0 {
 		err = io.ErrUnexpectedEOF
 	}
 	return parsed, false, err
--- a/internal/responsecheck/conn.go
+++ b/internal/responsecheck/conn.go
@@ -11,8 +11,9 @@
 	net.Conn
 
 	mu sync.Mutex
-	// head checks the response to the latest request, nil before the first one.
-	head *Head
+	// head checks the response to the latest request. requested is set once there is one.
+	head      Head
+	requested bool
 }
 
 // NewConn returns a Conn on which no response is expected yet.
@@ -25,7 +26,8 @@
 func (c *Conn) ExpectResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = &Head{}
+	c.head.Reset()
+	c.requested = true
 }
 
 // Read implements net.Conn. It fails with an Error once a header is not valid.
@@ -33,7 +35,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head == nil {
+	if !c.requested {
 		return n, err
 	}
 	if invalid := c.head.Check(p[:n]); invalid != nil {
--- a/internal/responsecheck/framing.go
+++ b/internal/responsecheck/framing.go
@@ -1,6 +1,6 @@
 package responsecheck
 
-import "strings"
+import "bytes"
 
 // framing checks the fields that state where the body of a response ends.
 type framing struct {
@@ -33,34 +33,34 @@
 	f.kind, f.value = otherField, f.value[:0]
 	switch len(name) {
 	case len("Content-Length"):
-		if strings.EqualFold(string(name), "Content-Length") {
+		if bytes.EqualFold(name, []byte("Content-Length")) {
 			f.kind = contentLength
 		}
 	case len("Transfer-Encoding"):
-		if strings.EqualFold(string(name), "Transfer-Encoding") {
+		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 			f.kind = transferEncoding
 		}
 	}
 }
 
-// addByte adds a byte to the value of the present field.
-func (f *framing) addByte(b byte) {
-	if f.kind != otherField && len(f.value) < maxFramingValueBytes {
-		f.value = append(f.value, b)
+// addValue adds bytes to the value of the present field.
+func (f *framing) addValue(p []byte) {
+	if f.kind != otherField {
+		f.value = append(f.value, p[:min(len(p), maxFramingValueBytes-len(f.value))]...)
 	}
 }
 
 // endField checks the present field.
 func (f *framing) endField() error {
-	value := strings.Trim(string(f.value), " \t")
+	value := bytes.Trim(f.value, " \t")
 	switch f.kind {
 	case contentLength:
-		if !isLength(value) || f.length != "" && f.length != value {
+		if !isLength(value) || f.length != "" && f.length != string(value) {
 			return Error{Reason: Framing, Detail: "Content-Length that is no number, or another one than before"}
 		}
-		f.length = value
+		f.length = string(value)
 	case transferEncoding:
-		if f.chunked || !strings.EqualFold(value, "chunked") {
+		if f.chunked || !bytes.EqualFold(value, []byte("chunked")) {
 			return Error{Reason: Framing, Detail: "Transfer-Encoding other than chunked, or twice"}
 		}
 		f.chunked = true
@@ -80,11 +80,11 @@
 	return nil
 }
 
-func isLength(value string) bool {
-	for i := range len(value) {
-		if !isDigit(value[i]) {
+func isLength(value []byte) bool {
+	for _, b := range value {
+		if !isDigit(b) {
 			return false
 		}
 	}
-	return value != "" && len(value) <= maxLengthDigits
+	return len(value) > 0 && len(value) <= maxLengthDigits
 }
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -1,22 +1,20 @@
 package responsecheck
 
-import (
-	"net/http"
-	"strings"
-)
+import "net/http"
 
 // Head checks the bytes of a response over HTTP/1 from its status line to the end of its header, as they
-// arrive. It is stricter than the parser of net/http, which also accepts what other
-// parsers read as another message: spaces in a field name, folded lines, lines that end in LF alone. It
-// follows interim responses up to the final one. The zero value expects a response.
+// arrive. It is stricter than the parser of net/http, which also accepts what other parsers read as another
+// message: spaces in a field name, folded lines, lines that end in LF alone. It follows interim responses
+// up to the final one. The zero value expects a response.
 type Head struct {
 	state headState
 	// position is the position within the status line.
 	position int
 	status   int
 	http10   bool
-	name     []byte
-	framing  framing
+	// name is the beginning of the present field name.
+	name    []byte
+	framing framing
 	// completed counts the headers that have ended, those of interim responses included.
 	completed int
 	failure   error
@@ -44,6 +42,11 @@
 	statusPosition       = len("HTTP/1.0 ")
 )
 
+// Reset makes h expect another response.
+func (h *Head) Reset() {
+	*h = Head{name: h.name[:0], framing: framing{value: h.framing.value[:0]}}
+}
+
 // Completed returns the number of headers that have ended, those of interim responses included.
 func (h *Head) Completed() int {
 	return h.completed
@@ -52,38 +55,64 @@
 // Check checks the next bytes, and ignores those behind the header of the final response. The error is
 // an Error; once there is one, Check returns it always.
 func (h *Head) Check(p []byte) error {
-	for _, b := range p {
-		if h.failure != nil || h.state == inBody {
-			break
+	for len(p) > 0 && h.failure == nil && h.state != inBody {
+		n := h.takeText(p)
+		if n == 0 {
+			h.failure = h.next(p[0])
+			n = 1
 		}
-		h.failure = h.next(b)
+		p = p[n:]
 	}
 	return h.failure
 }
 
-// next checks one byte.
+// takeText takes the bytes at the beginning of p that belong to the present field name, field value or
+// reason phrase, and returns their number.
+func (h *Head) takeText(p []byte) int {
+	switch h.state {
+	case inReason:
+		return span(p, &textBytes)
+	case inValue:
+		n := span(p, &textBytes)
+		h.framing.addValue(p[:n])
+		return n
+	case inName:
+		n := span(p, &nameBytes)
+		h.name = append(h.name, p[:min(n, maxNameBytes-len(h.name))]...)
+		return n
+	}
+	return 0
+}
+
+// next checks a byte that takeText has not taken.
 func (h *Head) next(b byte) error {
 	switch h.state {
 	case inStatusLine:
 		return h.nextOfStatusLine(b)
 	case inReason:
-		return h.nextOfReason(b)
+		if b != '\r' {
+			return Error{Reason: StatusLine, Detail: "control byte in the reason phrase"}
+		}
+		h.state = inLineEnd
 	case inValue:
-		return h.nextOfValue(b)
+		if b != '\r' {
+			return Error{Reason: FieldValue, Detail: "control byte in the value of " + h.fieldName()}
+		}
+		h.state = inLineEnd
+		return h.framing.endField()
 	case inLineEnd:
 		if b != '\n' {
 			return Error{Reason: LineEnd, Detail: "CR without LF"}
 		}
 		h.state = atLineStart
 	case atLineStart:
-		if b == '\r' {
-			h.state = inHeadEnd
-			return nil
-		}
-		h.name, h.state = h.name[:0], inName
-		return h.nextOfName(b)
+		return h.startLine(b)
 	case inName:
-		return h.nextOfName(b)
+		if b != ':' {
+			return Error{Reason: FieldName, Detail: "byte that is none of a field name, behind " + h.fieldName()}
+		}
+		h.state = inValue
+		h.framing.startField(h.name)
 	case inHeadEnd:
 		if b != '\n' {
 			return Error{Reason: LineEnd, Detail: "CR without LF"}
@@ -93,6 +122,19 @@
 	return nil
 }
 
+// startLine checks the first byte of a line behind the status line.
+func (h *Head) startLine(b byte) error {
+	switch {
+	case b == '\r':
+		h.state = inHeadEnd
+	case nameBytes[b]:
+		h.name, h.state = append(h.name[:0], b), inName
+	default:
+		return Error{Reason: FieldName, Detail: "line without a field name, behind the field " + h.fieldName()}
+	}
+	return nil
+}
+
 func (h *Head) nextOfStatusLine(b byte) error {
 	if h.position == len(statusLineForm) {
 		switch b {
@@ -122,54 +164,18 @@
 	return nil
 }
 
-// nextOfReason checks a byte of the reason phrase.
-func (h *Head) nextOfReason(b byte) error {
-	switch {
-	case b == '\r':
-		h.state = inLineEnd
-	case !isTextByte(b):
-		return Error{Reason: StatusLine, Detail: "control byte in the reason phrase"}
-	}
-	return nil
-}
-
-// nextOfValue checks a byte of a field value.
-func (h *Head) nextOfValue(b byte) error {
-	switch {
-	case b == '\r':
-		h.state = inLineEnd
-		return h.framing.endField()
-	case !isTextByte(b):
-		return Error{Reason: FieldValue, Detail: "control byte in the value of " + h.fieldName()}
-	}
-	h.framing.addByte(b)
-	return nil
-}
-
-func (h *Head) nextOfName(b byte) error {
-	switch {
-	case b == ':' && len(h.name) > 0:
-		h.state = inValue
-		h.framing.startField(h.name)
-	case !isNameByte(b):
-		return Error{Reason: FieldName, Detail: "field name with a byte that is none of a token, behind " + h.fieldName()}
-	case len(h.name) < maxNameBytes:
-		h.name = append(h.name, b)
-	}
-	return nil
-}
-
 // end ends a header.
 func (h *Head) end() error {
 	if err := h.framing.check(h.http10); err != nil {
 		return err
 	}
-	h.completed++
+	completed := h.completed + 1
 	if h.status < http.StatusOK {
-		*h = Head{name: h.name, completed: h.completed}
-		return nil
+		h.Reset()
+	} else {
+		h.state = inBody
 	}
-	h.state = inBody
+	h.completed = completed
 	return nil
 }
 
@@ -181,14 +187,3 @@
 func (h *Head) fieldName() string {
 	return `"` + string(h.name) + `"`
 }
-
-// isTextByte reports whether a byte may stand in a field value or a reason phrase: it is a tab, a
-// space, visible, or above ASCII.
-func isTextByte(b byte) bool {
-	return b >= ' ' && b != 0x7f || b == '\t'
-}
-
-// isNameByte reports whether a byte may stand in a field name, which is a token.
-func isNameByte(b byte) bool {
-	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || isDigit(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-}
--- a/internal/responsecheck/joined.go
+++ b/internal/responsecheck/joined.go
@@ -23,7 +23,7 @@
 	for name, values := range h {
 		for _, value := range values {
 			if len(value) >= statusLineBytes && containsStatusLine(value) {
-				return Error{Reason: JoinedHeaders, Detail: "status line of another response in the value of " + name}
+				return Error{Reason: JoinedHeaders, Detail: "status line of another response in the value of " + name[:min(len(name), maxNameBytes)]}
 			}
 		}
 	}
@@ -44,7 +44,3 @@
 		text = line[len(versionPrefix):]
 	}
 }
-
-func isDigit(b byte) bool {
-	return b >= '0' && b <= '9'
-}
--- a/internal/responsecheck/parsed.go
+++ b/internal/responsecheck/parsed.go
@@ -17,18 +17,9 @@
 // FieldNames returns an Error if a field of a header or a trailer has no valid name.
 func FieldNames(h http.Header) error {
 	for name := range h {
-		if !isName(name) {
+		if name == "" || span(name, &nameBytes) < len(name) {
 			return Error{Reason: FieldName, Detail: "field name that is no token"}
 		}
 	}
 	return nil
 }
-
-func isName(name string) bool {
-	for i := range len(name) {
-		if !isNameByte(name[i]) {
-			return false
-		}
-	}
-	return name != ""
-}
