internal/h1: the reset of an upload that the kernel has taken whole is tested too

When the kernel's buffers hold the whole upload, no write is running and the read gets the reset itself. That case was handled already; the test of 40 resets now alternates uploads of 8 MiB and 200 KiB.

--- a/internal/h1/reset_response_test.go
+++ b/internal/h1/reset_response_test.go
@@ -58,15 +58,18 @@
 	}
 }
 
-// Guards against the same when nothing but the kernel orders the write and the read.
+// Guards against the same when nothing but the kernel orders the write and the read, also if its buffers
+// have taken the whole upload, so that no write is running.
 func TestResponseResetDuringUploadIsNeverWhole(t *testing.T) {
-	for range 20 {
+	for i := range 40 {
 		p := testPool(t, scriptedServer(t, func(c net.Conn, r *bufio.Reader) {
 			awaitPending(r)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart")
 			deliverytest.Reset(c)
 		}))
-		response, err := do(p, longUpload())
+		r := longUpload()
+		r.Body = r.Body[:[]int{8 << 20, 200 << 10}[i%2]]
+		response, err := do(p, r)
 		assert.Assert(t, err != nil, "%+v", response)
 	}
 }
