test/integration: the faults of the link test hit the same services in each run

Cause: the test picks links by a fixed seed from a list of instances, which are listed in the order in which they have started. They start concurrently, so that the seed hits other services from run to run. When it hits the nested service mostly, no caller sees a response break off.

Change: the services alternate in the list. Seeds, faults, bounds and all checks are the same; what changes is that they hold for one arrangement in place of six at random.

--- a/test/integration/link_faults_test.go
+++ b/test/integration/link_faults_test.go
@@ -170,9 +170,14 @@
 	}
 	f := startFleet(t, d)
 	var peers, upstreams []*faultproxy.Proxy
-	for _, instance := range f.Instances("") {
-		peers = append(peers, instance.PeerProxy)
-		upstreams = append(upstreams, instance.UpstreamProxy)
+	// Instances are listed in the order in which they have started, which differs from run to run. Here the
+	// services alternate, so that the same faults hit the same services.
+	for i := range 2 {
+		for _, service := range d.Services {
+			instance := f.Instances(service.Name)[i]
+			peers = append(peers, instance.PeerProxy)
+			upstreams = append(upstreams, instance.UpstreamProxy)
+		}
 	}
 	stop := make(chan struct{})
 	var faults sync.WaitGroup
