--- a/internal/h1/reset_response_test.go
+++ b/internal/h1/reset_response_test.go
@@ -46,14 +46,11 @@
 				time.Sleep(50 * time.Millisecond)
 				deliverytest.Reset(c)
 			}))
-			conn, err := net.Dial("tcp", p.config.Address)
-			assert.NilError(t, err)
-			defer conn.Close()
+			conn, _ := dial(t, p.config.Address)
 			c := newClientConn(p, deliverytest.NewWriteFirstConn(conn))
-			_, err = c.exchange(t.Context(), longUpload(), time.Now().Add(testTimeout))
+			_, err := c.exchange(t.Context(), longUpload(), time.Now().Add(testTimeout))
 			var failure *SendError
-			assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
-			assert.Assert(t, !failure.DeadlineExceeded(), "%v", err)
+			assert.Assert(t, errors.As(err, &failure) && failure.Sent && !failure.DeadlineExceeded(), "%v", err)
 		})
 	}
 }
--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -11,7 +11,8 @@
 	// position is the position within the status line.
 	position int
 	status   int
-	http10   bool
+	// http10 is set for HTTP/1.0.
+	http10 bool
 	// name is the beginning of the present field name.
 	name    []byte
 	framing framing
--- a/internal/responsecheck/responsechecktest/headers.go
+++ b/internal/responsecheck/responsechecktest/headers.go
@@ -6,13 +6,13 @@
 	"strings"
 )
 
-// Response is a response with the body "body", as its bytes.
+// Response is a response as its bytes. A valid one has the body "body".
 type Response struct {
 	Name, Bytes string
 }
 
-// respond returns a response with the given status line and lines of its header, in which extra replaces
-// the line that states the length if it contains "length".
+// respond returns a response with a status line and extra header lines. Its length is stated unless extra
+// contains "length".
 func respond(name, statusLine, extra string) Response {
 	lines := statusLine + "\r\n" + Identity + extra
 	if !strings.Contains(strings.ToLower(extra), "length") {
@@ -21,7 +21,7 @@
 	return Response{Name: name, Bytes: lines + "\r\nbody"}
 }
 
-// Identity stands for the lines by which a response names its request. Tests replace it.
+// Identity stands for the lines by which a response names its request. Tests replace it with theirs.
 const Identity = "X-Identity: {id}\r\n"
 
 const statusLine200 = "HTTP/1.1 200 OK"
