internal/pause: a wait that is over already makes no timer

A timer that has expired when a goroutine of a bubble selects on it runs with the one race context of the bubble.

Change: internal/pause takes the place of the three functions of this kind, in settingsync, storesync and status, and returns without a timer when there is nothing to wait for. A context that has ended counts first.

A timer of more than 0 that has expired by the time of the select remains possible.

--- a/internal/settingsync/puller.go
+++ b/internal/settingsync/puller.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/pause"
 	"github.com/mustardwing/mustardwing/internal/peerv1"
 )
 
@@ -70,7 +71,7 @@
 		if best != nil {
 			_ = s.applyIfNewer(*best, SourcePeer)
 		}
-		if responded || !sleep(ctx, s.cfg.RoleInterval/2+s.jitter(s.cfg.RoleInterval)) {
+		if responded || !pause.For(ctx, s.cfg.RoleInterval/2+s.jitter(s.cfg.RoleInterval)) {
 			return
 		}
 	}
@@ -92,7 +93,7 @@
 		if u := s.fetch(ctx, peer, revision); u != nil && s.applyFetched(ctx, *u, peer) {
 			return
 		}
-		if !sleep(ctx, time.Duration(attempt+1)*s.jitter(100*time.Millisecond)) {
+		if !pause.For(ctx, time.Duration(attempt+1)*s.jitter(100*time.Millisecond)) {
 			return
 		}
 		if others := s.cfg.Members.RandomPeers(1); len(others) == 1 {
--- a/internal/settingsync/syncer.go
+++ b/internal/settingsync/syncer.go
@@ -142,15 +142,3 @@
 	defer s.mu.Unlock()
 	return time.Duration(s.rng.Int64N(int64(d)))
 }
-
-// sleep waits for d. It returns false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/settingsync/watcher.go
+++ b/internal/settingsync/watcher.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/pause"
 	"github.com/mustardwing/mustardwing/internal/platform"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
@@ -28,7 +29,7 @@
 				backoff = min(2*backoff, s.cfg.MaxBackoff)
 			}
 		}
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 	}
@@ -69,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchTimeout)
 	defer cancel()
 	go func() {
-		for sleep(ctx, s.cfg.RoleInterval) {
+		for pause.For(ctx, s.cfg.RoleInterval) {
 			if !s.cfg.Members.Holds(membership.RoleSettingsWatcher) {
 				cancel()
 			}
--- a/internal/status/reporter.go
+++ b/internal/status/reporter.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/mustardwing/mustardwing/internal/membership"
+	"github.com/mustardwing/mustardwing/internal/pause"
 	"github.com/mustardwing/mustardwing/internal/peerv1"
 	"github.com/mustardwing/mustardwing/internal/resultcode"
 )
@@ -96,7 +97,7 @@
 // sendLoop pushes this node's summary to the reporters of its failure domain, once per
 // push interval until ctx ends.
 func (r *Reporter) sendLoop(ctx context.Context) {
-	for sleep(ctx, r.jitter(r.pushInterval())) {
+	for pause.For(ctx, r.jitter(r.pushInterval())) {
 		summary := r.localSummary()
 		self := r.cfg.Members.Self()
 		for _, holder := range r.cfg.Members.Holders(membership.RoleStatusReporter, self.FailureDomain) {
@@ -140,7 +141,7 @@
 // fail.
 func (r *Reporter) writeLoop(ctx context.Context) {
 	wait := r.pushInterval()
-	for sleep(ctx, r.cfg.Interval/5+r.jitter(wait)) {
+	for pause.For(ctx, r.cfg.Interval/5+r.jitter(wait)) {
 		if !r.cfg.Members.Holds(membership.RoleStatusReporter) {
 			r.reset()
 			continue
@@ -220,15 +221,3 @@
 	defer r.mu.Unlock()
 	return d - d/5 + time.Duration(r.rng.Int64N(int64(2*d/5)+1))
 }
-
-// sleep waits for d and returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/storesync/restorer_test.go
+++ b/internal/storesync/restorer_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mustardwing/mustardwing/internal/directory"
+	"github.com/mustardwing/mustardwing/internal/pause"
 	"github.com/mustardwing/mustardwing/internal/platform/platformtest"
 )
 
@@ -15,7 +16,7 @@
 func (n *node) receiveAlways(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.lastReceived.Store(time.Now().UnixNano())
-		sleep(ctx, 200*time.Millisecond)
+		pause.For(ctx, 200*time.Millisecond)
 	}
 }
 
--- a/internal/storesync/syncer.go
+++ b/internal/storesync/syncer.go
@@ -19,6 +19,7 @@
 
 	"github.com/mustardwing/mustardwing/internal/directory"
 	"github.com/mustardwing/mustardwing/internal/gossip"
+	"github.com/mustardwing/mustardwing/internal/pause"
 	"github.com/mustardwing/mustardwing/internal/platform"
 	"github.com/mustardwing/mustardwing/internal/settings"
 	"github.com/mustardwing/mustardwing/internal/supervise"
@@ -215,7 +216,7 @@
 			s.noteSkipped(prefix, listing.Skipped)
 			apply(change{version: listing.Version, objects: listing.Objects, snapshot: true, returned: applied && era != appliedEra})
 			if !applied && prefix == s.config.Keys.ConfigPrefix {
-				sleep(eraCtx, time.Until(s.startedAt().Add(configWatchDelay)))
+				pause.For(eraCtx, time.Until(s.startedAt().Add(configWatchDelay)))
 			}
 			applied, appliedEra = true, era
 			s.watch(eraCtx, prefix, listing.Version, batch, gossiped, apply, backoff)
@@ -246,7 +247,7 @@
 // spreadCalls waits for a random part of the time over which all nodes together spread the
 // calls that each of them makes after a return of the store.
 func (s *Syncer) spreadCalls(ctx context.Context) {
-	sleep(ctx, rand.N(time.Duration(s.config.Directory.Size())*time.Second/spreadCallsPerSecond))
+	pause.For(ctx, rand.N(time.Duration(s.config.Directory.Size())*time.Second/spreadCallsPerSecond))
 }
 
 // watch applies the changes under a prefix until the prefix has to be listed again or
@@ -462,15 +463,5 @@
 // sleepJittered waits for a random duration between half of limit and limit, or until ctx
 // ends.
 func sleepJittered(ctx context.Context, limit time.Duration) {
-	sleep(ctx, limit/2+rand.N(limit/2))
-}
-
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, limit/2+rand.N(limit/2))
 }
