--- a/review/14/run.sh
+++ b/review/15/run.sh
@@ -8,4 +8,4 @@
 	echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
 	exit 2
 fi
-exec "$program" -case budget -root "$root" -record "$here/record.txt"
+exec "$program" -case nested -root "$root" -record "$here/record.txt"
--- a/review/standin-3/case_leave.go
+++ b/review/standin-3/case_leave.go
@@ -147,6 +147,80 @@
 	})
 }
 
+// lateHeartbeat is how late the heartbeat of veryLate arrives, serveOn how long its worker serves after the
+// acknowledgement.
+const (
+	lateHeartbeat = 8 * time.Second
+	serveOn       = 12 * time.Second
+)
+
+// veryLate: a heartbeat is under way while its worker leaves, the store is down and all nodes are killed.
+func veryLate(newFleet func(services ...string) (*fleet, error), c *record, trouble bool) error {
+	f, err := newFleet("web", "web", "shop")
+	if err != nil {
+		return err
+	}
+	f.configure(1, route{prefix: "/search/", kind: "safe", service: "web", priority: 2, maxAttempts: 2, timeout: 1200 * time.Millisecond, target: 1500 * time.Millisecond})
+	var got arrivals
+	var workers []*worker
+	for i, n := range f.nodes {
+		var seen *arrivals
+		if i == 0 {
+			seen = &got
+		}
+		workers = append(workers, f.serving(n, fmt.Sprintf("i-00000%d", i+1), time.Now().UnixMilli(), workTime, seen))
+	}
+	if err := f.boot(workers...); err != nil {
+		return err
+	}
+	time.Sleep(stable)
+	leaver := workers[0]
+	body := leaver.heartbeat("ready")
+	sent := time.Now()
+	c.add("worker %s sends the heartbeat %s, which is under way for %s", leaver.id, body, lateHeartbeat)
+	arrived := make(chan struct{})
+	go func() {
+		defer close(arrived)
+		if !sleep(leaver.ctx, time.Until(sent.Add(lateHeartbeat))) {
+			return
+		}
+		status, err := leaver.post("heartbeat", body)
+		c.add("the late heartbeat arrives: status %d, error %v", status, err)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	if trouble {
+		c.add("the store goes down")
+		f.store.down.Store(true)
+	}
+	time.Sleep(200 * time.Millisecond)
+	acknowledged, err := leaver.deregister()
+	if err != nil {
+		return err
+	}
+	calm := acknowledged
+	if trouble {
+		time.Sleep(200 * time.Millisecond)
+		if err := f.killAll(600 * time.Millisecond); err != nil {
+			return err
+		}
+		f.store.down.Store(false)
+		c.add("the store is back")
+		calm = time.Now()
+	}
+	// From here on all machines and the store are calm for the time that the rules ask.
+	time.Sleep(time.Until(calm.Add(stable + 100*time.Millisecond)))
+	ctx, cancel := context.WithDeadline(context.Background(), acknowledged.Add(serveOn))
+	defer cancel()
+	answers := newClient(c).load(ctx, f.nodes[2], "/search/1", 50*time.Millisecond, 5*time.Second)
+	<-arrived
+	late, most := got.lateAfter(acknowledged.Add(drainBound))
+	c.conclude("%d requests; %d of them reached the worker that had left", len(answers), late)
+	if late > 0 {
+		return errRule{fmt.Errorf("DRAIN: %d requests reached the worker later than %s after the acknowledgement, the last of them %s later than that", late, drainBound, most)}
+	}
+	return nil
+}
+
 // killAll kills the processes of all nodes at the same moment and starts them again.
 func (f *fleet) killAll(down time.Duration) error {
 	for _, n := range f.nodes {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,8 +19,9 @@
 var cases = map[string]func(f func(services ...string) (*fleet, error), c *record, trouble bool) error{
 	"same-id":     sameID,
 	"slow-reader": slowReaders,
-	"budget":      budgetCase,
 	"nested":      nestedCase,
+	"stop":        stopCase,
+	"very-late":   veryLate,
 }
 
 func main() {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	objects  map[string]*object
 	events   []event
 	changed  chan struct{}
+	// down makes the store answer every call with 503.
+	down atomic.Bool
 }
 
 type object struct {
@@ -85,6 +88,10 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", "1")
+	if s.down.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	query := r.URL.Query()
 	switch {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -84,7 +84,7 @@
 			k.record.add("the late message of worker %s (born %d) arrives: status %d, error %v", k.id, k.born, status, err)
 			delay = 0
 		}
-		if !periodic || k.leaving.Load() || !sleep(k.ctx, heartbeatInterval) {
+		if !periodic || !sleep(k.ctx, heartbeatInterval) || k.leaving.Load() {
 			return
 		}
 	}
